The thin whole path: entries, agents, stand-ins, one request end to end

An entry routes QUIC datagrams by an encrypted connection ID without a flow table; the agent beside each backend server ends the flow and runs its requests.

Not yet there: programs, settings, admin API, fault tests.

--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,336 @@
+// Package admit decides which requests a backend server works on, in which order, and which are refused.
+//
+// A Scheduler is given arrivals and endings with their times; it holds no locks, sockets or clocks.
+// It guarantees that no more jobs run than there are slots, that no more wait than the queue holds,
+// that every job given to it is answered by exactly one start, refusal, removal or cancellation, and
+// that a job which can't end before its deadline isn't started. A call costs time in proportion to the
+// queue's length.
+package admit
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// heavyFactor is how many times longer than the shortest class a class must be to count as heavy.
+	heavyFactor = 4
+	// orderFactor weighs a job's expected duration against its waiting time in the queue's order.
+	orderFactor = 4
+	// minSamples is how many endings a class needs before its mean is trusted.
+	minSamples = 3
+	// meanGain is the weight of a new duration in a mean.
+	meanGain = 0.1
+	// utilizationTime is the time constant of the mean number of busy slots.
+	utilizationTime = time.Second
+	// maxClasses bounds the classes that are told apart; further ones share the overall mean.
+	maxClasses = 256
+	// rampTime is the time in which a server that starts cold gets to use all its slots.
+	rampTime = 5 * time.Second
+	// errorGain is the weight of one ending in the error ratio.
+	errorGain = 0.1
+	// failingRatio is the error ratio from which a server counts as failing.
+	failingRatio = 0.5
+)
+
+// Limits are the limits of one backend server, which follow from its contract.
+type Limits struct {
+	Slots int
+	Queue int
+}
+
+// Job is a request to be scheduled.
+type Job struct {
+	ID uint64
+	// Class groups requests that are expected to take equally long.
+	Class    string
+	Arrived  time.Time
+	Deadline time.Time
+}
+
+// Verdict is the answer to a job.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Start lets the job run now; Finish must be called when it has ended.
+	Start Verdict = iota + 1
+	// Wait keeps the job in the queue; Advance answers it later.
+	Wait
+	// Refuse ends the job before it ran.
+	Refuse
+)
+
+// Answer is a verdict on a job that waited.
+type Answer struct {
+	Job     Job
+	Verdict Verdict
+}
+
+// class is what is known of the durations of one class.
+type class struct {
+	mean    time.Duration
+	samples int
+}
+
+// running is a job that runs.
+type running struct {
+	job     Job
+	started time.Time
+	heavy   bool
+}
+
+// Scheduler schedules the jobs of one backend server. Its owner serializes access.
+type Scheduler struct {
+	limits  Limits
+	born    time.Time
+	classes map[string]*class
+	overall class
+	queue   []Job
+	running map[uint64]running
+	heavy   int
+
+	busy      float64
+	busySince time.Time
+	errors    float64
+}
+
+// New returns a scheduler for a server that starts cold at now.
+func New(limits Limits, now time.Time) *Scheduler {
+	return &Scheduler{
+		limits:    limits,
+		born:      now,
+		classes:   make(map[string]*class),
+		running:   make(map[uint64]running),
+		busySince: now,
+	}
+}
+
+// SetLimits puts other limits in force. Jobs that run or wait are not ended by it.
+func (s *Scheduler) SetLimits(limits Limits) { s.limits = limits }
+
+// Slots returns the number of slots in use at now, which grows while the server is cold.
+func (s *Scheduler) Slots(now time.Time) int {
+	age := now.Sub(s.born)
+	if age >= rampTime {
+		return s.limits.Slots
+	}
+	ramped := 1 + int(float64(s.limits.Slots)*float64(age)/float64(rampTime))
+	return min(ramped, s.limits.Slots)
+}
+
+// Free returns the number of slots that a light job could start in at now.
+func (s *Scheduler) Free(now time.Time) int {
+	return max(0, s.Slots(now)-len(s.running)-len(s.queue))
+}
+
+// Arrive decides about a job that arrives at now.
+func (s *Scheduler) Arrive(job Job, now time.Time) Verdict {
+	if len(s.queue) == 0 && s.mayStart(job, now) {
+		s.start(job, now)
+		return Start
+	}
+	if s.Wait(now)+s.Expected(job.Class) > job.Deadline.Sub(now) {
+		return Refuse
+	}
+	if len(s.queue) >= s.limits.Queue {
+		return Refuse
+	}
+	s.queue = append(s.queue, job)
+	return Wait
+}
+
+// TryStart starts a job only if that is possible at once, and reports whether it did.
+func (s *Scheduler) TryStart(job Job, now time.Time) bool {
+	if len(s.queue) > 0 || !s.mayStart(job, now) {
+		return false
+	}
+	s.start(job, now)
+	return true
+}
+
+// Finish notes that a job has ended; failed says that the server answered with an error of its own.
+// The caller then asks Advance for the jobs that may start.
+func (s *Scheduler) Finish(id uint64, failed bool, now time.Time) {
+	r, ok := s.running[id]
+	if !ok {
+		return
+	}
+	s.settle(now)
+	delete(s.running, id)
+	if r.heavy {
+		s.heavy--
+	}
+	s.noteError(failed)
+	if !failed {
+		s.learn(r.job.Class, now.Sub(r.started))
+	}
+}
+
+// Cancel takes a waiting job out of the queue, and reports whether it waited there.
+func (s *Scheduler) Cancel(id uint64) bool {
+	i := slices.IndexFunc(s.queue, func(j Job) bool { return j.ID == id })
+	if i < 0 {
+		return false
+	}
+	s.queue = slices.Delete(s.queue, i, i+1)
+	return true
+}
+
+// Take removes and returns up to n waiting jobs that would start last, for another server to run.
+func (s *Scheduler) Take(n int) []Job {
+	s.sort()
+	n = min(n, len(s.queue))
+	at := len(s.queue) - n
+	taken := slices.Clone(s.queue[at:])
+	s.queue = s.queue[:at]
+	return taken
+}
+
+// Advance starts the waiting jobs that may run at now, and refuses those that can't end in time.
+func (s *Scheduler) Advance(now time.Time) []Answer {
+	if len(s.queue) == 0 {
+		return nil
+	}
+	s.sort()
+	var answers []Answer
+	var rest []Job
+	for _, job := range s.queue {
+		switch {
+		case now.Add(s.Expected(job.Class)).After(job.Deadline):
+			answers = append(answers, Answer{Job: job, Verdict: Refuse})
+		case s.mayStart(job, now):
+			s.start(job, now)
+			answers = append(answers, Answer{Job: job, Verdict: Start})
+		default:
+			rest = append(rest, job)
+		}
+	}
+	s.queue = rest
+	return answers
+}
+
+// sort orders the queue: long jobs go behind short ones until they have waited in proportion.
+func (s *Scheduler) sort() {
+	slices.SortStableFunc(s.queue, func(a, b Job) int {
+		keyA := a.Arrived.Add(orderFactor * s.Expected(a.Class))
+		keyB := b.Arrived.Add(orderFactor * s.Expected(b.Class))
+		return keyA.Compare(keyB)
+	})
+}
+
+func (s *Scheduler) mayStart(job Job, now time.Time) bool {
+	slots := s.Slots(now)
+	if len(s.running) >= slots {
+		return false
+	}
+	return !s.isHeavy(job.Class) || slots == 1 || s.heavy < slots-1
+}
+
+func (s *Scheduler) start(job Job, now time.Time) {
+	s.settle(now)
+	heavy := s.isHeavy(job.Class)
+	if heavy {
+		s.heavy++
+	}
+	s.running[job.ID] = running{job: job, started: now, heavy: heavy}
+}
+
+// isHeavy reports whether jobs of a class take several times longer than those of the shortest class.
+func (s *Scheduler) isHeavy(name string) bool {
+	c := s.classes[name]
+	if c == nil || c.samples < minSamples {
+		return false
+	}
+	shortest := c.mean
+	for _, other := range s.classes {
+		if other.samples >= minSamples {
+			shortest = min(shortest, other.mean)
+		}
+	}
+	return c.mean > heavyFactor*shortest
+}
+
+// Expected returns the expected duration of a job of a class; 0 when nothing is known yet.
+func (s *Scheduler) Expected(name string) time.Duration {
+	if c := s.classes[name]; c != nil && c.samples >= minSamples {
+		return c.mean
+	}
+	return s.overall.mean
+}
+
+// Wait returns the expected time until a job that arrives at now may start.
+func (s *Scheduler) Wait(now time.Time) time.Duration {
+	slots := s.Slots(now)
+	if len(s.running)+len(s.queue) < slots {
+		return 0
+	}
+	work := s.overall.mean // Until one of the running jobs ends, on average.
+	for _, job := range s.queue {
+		work += s.Expected(job.Class)
+	}
+	return work / time.Duration(slots)
+}
+
+func (s *Scheduler) learn(name string, d time.Duration) {
+	s.overall.add(d)
+	c := s.classes[name]
+	if c == nil {
+		if len(s.classes) >= maxClasses {
+			return
+		}
+		c = &class{}
+		s.classes[name] = c
+	}
+	c.add(d)
+}
+
+func (c *class) add(d time.Duration) {
+	c.samples++
+	gain := max(meanGain, 1/float64(c.samples))
+	c.mean += time.Duration(gain * float64(d-c.mean))
+}
+
+func (s *Scheduler) noteError(failed bool) {
+	sample := 0.0
+	if failed {
+		sample = 1
+	}
+	s.errors += errorGain * (sample - s.errors)
+}
+
+// Failing reports whether most of the server's recent answers were errors.
+func (s *Scheduler) Failing() bool { return s.errors >= failingRatio }
+
+// settle brings the mean number of busy slots up to now.
+func (s *Scheduler) settle(now time.Time) {
+	elapsed := now.Sub(s.busySince)
+	if elapsed <= 0 {
+		return
+	}
+	weight := float64(elapsed) / float64(elapsed+utilizationTime)
+	s.busy += weight * (float64(len(s.running)) - s.busy)
+	s.busySince = now
+}
+
+// Load is a server's load.
+type Load struct {
+	// Utilization is the recent share of busy slots, from 0 to 1.
+	Utilization float64
+	Free        int
+	Running     int
+	Queued      int
+	Failing     bool
+}
+
+// Load returns the server's load at now.
+func (s *Scheduler) Load(now time.Time) Load {
+	s.settle(now)
+	return Load{
+		Utilization: min(1, s.busy/float64(max(1, s.Slots(now)))),
+		Free:        s.Free(now),
+		Running:     len(s.running),
+		Queued:      len(s.queue),
+		Failing:     s.Failing(),
+	}
+}
--- /dev/null
+++ b/internal/agent/health.go
@@ -0,0 +1,53 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	healthInterval = time.Second
+	healthTimeout  = 500 * time.Millisecond
+)
+
+// runHealth asks the backend server whether it drains, until ctx ends. Its word counts for that only:
+// how fast and how well it works is judged by what it does.
+func (a *Agent) runHealth(ctx context.Context) error {
+	if a.opts.Health == "" {
+		<-ctx.Done()
+		return nil
+	}
+	client := &http.Client{Timeout: healthTimeout}
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			a.checkHealth(ctx, client)
+		}
+	}
+}
+
+func (a *Agent) checkHealth(ctx context.Context, client *http.Client) {
+	u := a.opts.Backend.JoinPath(a.opts.Health)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		a.log.Error("can't ask the backend server for its health", zap.Error(err))
+		return
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		a.counters.Add("health_unanswered", 1)
+		return
+	}
+	_ = resp.Body.Close()
+	if a.leaving.Load() || a.know.get().record.Retired {
+		return
+	}
+	a.setDraining(resp.StatusCode == http.StatusServiceUnavailable, "the backend server's health endpoint")
+}
--- /dev/null
+++ b/internal/agent/know.go
@@ -0,0 +1,109 @@
+package agent
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+	"github.com/bergamotrun/bergamotrun/pkg/contr"
+)
+
+// knowledge is what an agent knows of its service and of the entries. It is immutable.
+type knowledge struct {
+	record    contr.Record
+	keySerial uint64
+	members   []view.Record
+	hash      uint64
+	entries   []view.Record
+}
+
+// knower holds the knowledge in force; contracts and keys in it never go back to older ones.
+type knower struct{ now atomic.Pointer[knowledge] }
+
+func newKnower() *knower {
+	k := &knower{}
+	k.now.Store(&knowledge{})
+	return k
+}
+
+func (k *knower) get() *knowledge { return k.now.Load() }
+
+// update takes over what an entry told and returns the knowledge before and after.
+// It must not be called by two goroutines at once.
+func (k *knower) update(reply *ctrl.ServiceReply) (before, after *knowledge) {
+	before = k.get()
+	fresh := *before
+	if reply.Found && reply.Record.Serial >= before.record.Serial {
+		fresh.record = reply.Record
+	}
+	if reply.KeySerial > before.keySerial {
+		fresh.keySerial = reply.KeySerial
+	}
+	fresh.members = reply.Members
+	fresh.hash = reply.Hash
+	fresh.entries = mergeEntries(before.entries, reply.Entries)
+	k.now.Store(&fresh)
+	return before, &fresh
+}
+
+// heardEntry takes over an entry's own record.
+func (k *knower) heardEntry(rec view.Record) {
+	before := k.get()
+	fresh := *before
+	fresh.entries = mergeEntries(before.entries, []view.Record{rec})
+	k.now.Store(&fresh)
+}
+
+// maxEntries bounds the entries that an agent remembers.
+const maxEntries = 32
+
+// mergeEntries returns the newest record of each entry in both lists that is not gone.
+func mergeEntries(old, fresh []view.Record) []view.Record {
+	newest := make(map[netip.AddrPort]view.Record, len(old)+len(fresh))
+	for _, list := range [][]view.Record{old, fresh} {
+		for _, r := range list {
+			if known, ok := newest[r.Packets]; !ok || r.Newer(&known) {
+				newest[r.Packets] = r
+			}
+		}
+	}
+	var out []view.Record
+	for _, r := range newest {
+		if r.State != view.Gone {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b view.Record) int {
+		return cmp.Or(cmp.Compare(a.State, b.State), a.Packets.Compare(b.Packets))
+	})
+	return out[:min(len(out), maxEntries)]
+}
+
+// homeCount is the number of entries that an agent sends heartbeats to.
+const homeCount = 3
+
+// homes returns the control addresses of the entries that the agent at self sends heartbeats to. The
+// choice is by rendezvous hashing, so that it changes little when entries come and go.
+func (k *knowledge) homes(self netip.AddrPort) []netip.AddrPort {
+	type ranked struct {
+		addr netip.AddrPort
+		rank uint64
+	}
+	var up []ranked
+	for _, r := range k.entries {
+		if r.State == view.Up {
+			up = append(up, ranked{r.Control, xxhash.Sum64String(self.String() + " " + r.Control.String())})
+		}
+	}
+	slices.SortFunc(up, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
+	var out []netip.AddrPort
+	for _, r := range up[:min(len(up), homeCount)] {
+		out = append(out, r.addr)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/agent/peers.go
@@ -0,0 +1,254 @@
+package agent
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/offer"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+)
+
+const (
+	loadInterval = 500 * time.Millisecond
+	// freeNoticeGap is the shortest time between two reports sent because slots became free.
+	freeNoticeGap = 50 * time.Millisecond
+	// maxPeers bounds the peers that an agent exchanges load with.
+	maxPeers = 8
+
+	peerDialTimeout = 500 * time.Millisecond
+	peerIdleTimeout = 30 * time.Second
+)
+
+// peer is what an agent knows of another agent of its service.
+type peer struct {
+	offer.Peer
+	record view.Record
+	queued int
+	flows  int
+}
+
+// peerSet holds an agent's peers. It is safe for concurrent use.
+type peerSet struct {
+	http *http.Transport
+
+	mu       sync.Mutex
+	rand     *rand.Rand
+	peers    []peer
+	ack      time.Time
+	lastTold time.Time
+}
+
+func newPeerSet(r *rand.Rand) *peerSet { return &peerSet{rand: r} }
+
+// newPeerTransport returns the transport for requests that are handed over.
+func newPeerTransport(conf *tls.Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAlive: 5 * time.Second}
+	return &http.Transport{
+		TLSClientConfig:       conf,
+		DialContext:           dialer.DialContext,
+		TLSHandshakeTimeout:   peerDialTimeout,
+		MaxIdleConnsPerHost:   8,
+		IdleConnTimeout:       peerIdleTimeout,
+		ExpectContinueTimeout: time.Second,
+		DisableCompression:    true,
+	}
+}
+
+// acked notes that an entry answered a heartbeat.
+func (s *peerSet) acked(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ack = now
+}
+
+// lastAck returns when an entry last answered a heartbeat.
+func (s *peerSet) lastAck() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ack
+}
+
+// setMembers takes over the service's members but for the agent itself.
+func (s *peerSet) setMembers(members []view.Record, self netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var fresh []peer
+	for _, r := range members {
+		if r.Control == self || r.State == view.Gone {
+			continue
+		}
+		fresh = append(fresh, s.peerFor(r))
+	}
+	s.peers = fresh
+}
+
+// peerFor returns what is known of the peer with record r.
+func (s *peerSet) peerFor(r view.Record) peer {
+	for i := range s.peers {
+		if s.peers[i].record.Control == r.Control && s.peers[i].record.Incarnation == r.Incarnation {
+			p := s.peers[i]
+			p.record = r
+			p.Draining = r.State == view.Draining
+			return p
+		}
+	}
+	return peer{Peer: offer.Peer{Control: r.Control, Draining: r.State == view.Draining}, record: r}
+}
+
+// heard takes a peer's report and reports whether it has free slots.
+func (s *peerSet) heard(load ctrl.Load, now time.Time) (free bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.peers {
+		p := &s.peers[i]
+		if p.record.Control != load.Record.Control || p.record.Incarnation != load.Record.Incarnation {
+			continue
+		}
+		p.Reported = now
+		p.Utilization = float64(load.Utilization) / thousand
+		p.Free = load.Free
+		p.Failing = load.Failing
+		p.Draining = load.Record.State != view.Up
+		p.Sent = 0
+		p.queued = load.Queued
+		p.flows = load.Flows
+		return load.Free > 0 && !p.Failing && !p.Draining
+	}
+	return false
+}
+
+const thousand = 1000
+
+// decide returns the control address of the peer that should get a request, and why.
+func (s *peerSet) decide(own offer.Own, now time.Time) (netip.AddrPort, offer.Why) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]offer.Peer, len(s.peers))
+	for i := range s.peers {
+		list[i] = s.peers[i].Peer
+	}
+	i, why := offer.Decide(own, list, now, s.rand.Float64())
+	if i < 0 {
+		return netip.AddrPort{}, offer.Stay
+	}
+	s.peers[i].Sent++
+	return s.peers[i].Control, why
+}
+
+// failed notes that a request handed to a peer failed.
+func (s *peerSet) failed(control netip.AddrPort, now time.Time) {
+	s.with(control, func(p *peer) { p.Failed = now })
+}
+
+// rejected notes that a peer had no free slot.
+func (s *peerSet) rejected(control netip.AddrPort) {
+	s.with(control, func(p *peer) { p.Free = 0 })
+}
+
+func (s *peerSet) with(control netip.AddrPort, f func(*peer)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.peers {
+		if s.peers[i].Control == control {
+			f(&s.peers[i])
+		}
+	}
+}
+
+// flowLoad returns the load of a peer for placing flows, and its age.
+func (s *peerSet) flowLoad(control netip.AddrPort, now time.Time) (peer, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.peers {
+		if s.peers[i].Control == control {
+			return s.peers[i], now.Sub(s.peers[i].Reported)
+		}
+	}
+	return peer{}, time.Hour
+}
+
+// member returns the record of the peer with a control address.
+func (s *peerSet) member(control netip.AddrPort) (view.Record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.peers {
+		if s.peers[i].record.Control == control {
+			return s.peers[i].record, true
+		}
+	}
+	return view.Record{}, false
+}
+
+// audience returns the peers to report load to: all of them, or those that wait for free slots.
+func (s *peerSet) audience(waiting bool, now time.Time) []netip.AddrPort {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if waiting && now.Sub(s.lastTold) < freeNoticeGap {
+		return nil
+	}
+	s.lastTold = now
+	var out []netip.AddrPort
+	offset := 0
+	if len(s.peers) > maxPeers {
+		offset = s.rand.IntN(len(s.peers))
+	}
+	for i := range min(len(s.peers), maxPeers) {
+		p := &s.peers[(i+offset)%len(s.peers)]
+		if !waiting || p.queued > 0 {
+			out = append(out, p.Control)
+		}
+	}
+	return out
+}
+
+// runLoads reports the load to peers until ctx ends.
+func (a *Agent) runLoads(ctx context.Context) error {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			a.tellLoad()
+		}
+	}
+}
+
+// tellLoad reports the load to all peers.
+func (a *Agent) tellLoad() { a.sendLoad(a.peers.audience(false, time.Now())) }
+
+// tellFree reports the load to the peers whose requests wait.
+func (a *Agent) tellFree() { a.sendLoad(a.peers.audience(true, time.Now())) }
+
+func (a *Agent) sendLoad(to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	load := a.work.load()
+	msg := ctrl.Load{
+		Record:      a.record(),
+		Utilization: uint16(load.Utilization * thousand),
+		Free:        load.Free,
+		Queued:      load.Queued,
+		Flows:       int(a.flows.Load()),
+		Failing:     load.Failing,
+	}
+	for _, addr := range to {
+		_ = ctrl.Send(a.link, addr, ctrl.KindLoad, msg)
+	}
+}
+
+// onLoad takes a peer's report; requests that wait here may go there.
+func (a *Agent) onLoad(_ netip.AddrPort, load ctrl.Load) {
+	if a.peers.heard(load, time.Now()) {
+		a.work.release(load.Free)
+	}
+}
--- /dev/null
+++ b/internal/ctrl/rpc.go
@@ -0,0 +1,172 @@
+package ctrl
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bergamotrun/bergamotrun/internal/journ"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+	"github.com/bergamotrun/bergamotrun/pkg/contr"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	callTimeout = 10 * time.Second
+)
+
+// ServiceArgs asks an entry for what the agent of a service needs.
+type ServiceArgs struct{ Service string }
+
+// ServiceReply is what the agent of a service needs.
+type ServiceReply struct {
+	Record    contr.Record
+	Found     bool
+	Keys      journ.Keys
+	KeySerial uint64
+	Members   []view.Record
+	// Hash is the hash of Members that an Ack gives.
+	Hash    uint64
+	Entries []view.Record
+}
+
+// JournalArgs asks an entry for the journal after a position.
+type JournalArgs struct{ Since uint64 }
+
+// JournalReply holds the entries after the position, or a snapshot where the entry no longer holds them all.
+type JournalReply struct {
+	Entries  []journ.Entry
+	Snapshot *journ.Snapshot
+}
+
+// ExchangeArgs gives an entry another one's digest, which is empty to ask for all records.
+type ExchangeArgs struct{ Digest []uint64 }
+
+// ExchangeReply holds the records in the buckets that differ and the answering entry's digest.
+type ExchangeReply struct {
+	Records []view.Record
+	Digest  []uint64
+}
+
+// OfferArgs gives an entry records that it may lack.
+type OfferArgs struct{ Records []view.Record }
+
+// OfferReply tells how many of the records were news.
+type OfferReply struct{ News int }
+
+// Server serves net/rpc calls over mutual TLS.
+type Server struct {
+	rpc *rpc.Server
+	ln  net.Listener
+}
+
+// NewServer returns a server for receiver's methods under name, on a listener that ServeConn gets its connections from.
+func NewServer(ln net.Listener, name string, receiver any) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), ln: ln}
+	if err := s.rpc.RegisterName(name, receiver); err != nil {
+		return nil, errors.Wrapf(err, "ctrl: register %s", name)
+	}
+	return s, nil
+}
+
+// Serve serves connections until the listener is closed.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "ctrl: accept")
+		}
+		go s.rpc.ServeConn(conn)
+	}
+}
+
+// Client calls other processes. It keeps one connection a process and is safe for concurrent use.
+type Client struct {
+	tls *tls.Config
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*rpc.Client
+}
+
+// NewClient returns a client that proves itself by conf.
+func NewClient(conf *tls.Config) *Client {
+	return &Client{tls: conf, conns: make(map[netip.AddrPort]*rpc.Client)}
+}
+
+// Call calls method of the process at addr. A connection on which a call failed isn't used again, so
+// that one which has gone silent delays one call only.
+func (c *Client) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	call := conn.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		c.drop(addr, conn)
+		return errors.Wrapf(ctx.Err(), "ctrl: call %s at %s", method, addr)
+	case <-call.Done:
+	}
+	if call.Error == nil {
+		return nil
+	}
+	if _, ok := call.Error.(rpc.ServerError); !ok {
+		c.drop(addr, conn)
+	}
+	return errors.Wrapf(call.Error, "ctrl: call %s at %s", method, addr)
+}
+
+func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn := c.conns[addr]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	dialer := tls.Dialer{Config: c.tls}
+	raw, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "ctrl: dial %s", addr)
+	}
+	conn = rpc.NewClient(raw)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[addr]; other != nil {
+		_ = conn.Close()
+		return other, nil
+	}
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(addr netip.AddrPort, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	_ = conn.Close()
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.conns {
+		_ = conn.Close()
+		delete(c.conns, addr)
+	}
+}
--- /dev/null
+++ b/internal/devel/spec.go
@@ -0,0 +1,77 @@
+// Package devel runs a whole deployment in one process: the store's and the network's stand-ins,
+// entries, agents and sample backend servers.
+package devel
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bergamotrun/bergamotrun/conf"
+	"github.com/bergamotrun/bergamotrun/internal/sett"
+	"github.com/bergamotrun/bergamotrun/pkg/contr"
+)
+
+// Spec describes a deployment.
+type Spec struct {
+	Name    string         `toml:"name"`
+	Domains []string       `toml:"domains"`
+	Entries int            `toml:"entries"`
+	Domain  contr.Duration `toml:"domain_delay"`
+	Caller  contr.Duration `toml:"caller_delay"`
+	Service []ServiceSpec  `toml:"service"`
+}
+
+// ServiceSpec describes a service of a deployment: its contract and its backend servers.
+type ServiceSpec struct {
+	Name        string         `toml:"name"`
+	Member      string         `toml:"member"`
+	Share       uint32         `toml:"share"`
+	Targets     int            `toml:"targets"`
+	Slots       int            `toml:"slots"`
+	Connections int            `toml:"connections"`
+	Queue       int            `toml:"queue"`
+	Deadline    contr.Duration `toml:"deadline"`
+	Tickets     bool           `toml:"tickets"`
+	Streams     []string       `toml:"streams"`
+	Drain       contr.Duration `toml:"drain"`
+	Slowness    []float64      `toml:"slowness"`
+}
+
+// LoadSpec returns the deployment of the brief with this name.
+func LoadSpec(name string) (*Spec, error) {
+	file := name + ".toml"
+	text, err := conf.Files.ReadFile(file)
+	if err != nil {
+		return nil, errors.Errorf("there is no deployment %q; there are ovesna and kalfaoglu", name)
+	}
+	var spec Spec
+	if err := sett.Decode("conf/"+file, text, &spec); err != nil {
+		return nil, err
+	}
+	return &spec, nil
+}
+
+// contract returns the service's contract for an address.
+func (s *ServiceSpec) contract(address netip.AddrPort) contr.Contract {
+	return contr.Contract{
+		Name: s.Name, Member: s.Member, Address: address, Share: s.Share, Slots: s.Slots,
+		Connections: s.Connections, Queue: s.Queue, Deadline: s.Deadline, Tickets: s.Tickets,
+		Streams: s.Streams, Drain: s.Drain,
+	}.WithDefaults()
+}
+
+// slownessOf returns how slow the i-th backend server is.
+func (s *ServiceSpec) slownessOf(i int) float64 {
+	if len(s.Slowness) == 0 {
+		return 1
+	}
+	return s.Slowness[i%len(s.Slowness)]
+}
+
+// domainOf returns the failure domain of the i-th instance of a kind.
+func (s *Spec) domainOf(i int) string { return s.Domains[i%len(s.Domains)] }
+
+// callerDelay is the way between callers and entries, one way.
+func (s *Spec) callerDelay() time.Duration { return s.Caller.Std() }
--- /dev/null
+++ b/internal/kvfake/kvfake.go
@@ -0,0 +1,205 @@
+// Package kvfake is a stand-in for the platform's key-value service, for tests and for the dev command.
+//
+// It serves reads, writes with cas=, prefix reads and blocking queries, and can be made to fail:
+// outages, slow answers, answers lost after the write took effect, silent watches.
+package kvfake
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	maxValueSize = 1 << 20
+	maxWait      = 5 * time.Minute
+)
+
+// Faults are what goes wrong in the service. The zero value is a healthy service.
+type Faults struct {
+	// Down makes each call wait until the caller gives up.
+	Down bool
+	// Refuse makes each call fail at once.
+	Refuse bool
+	// Delay is how long each call takes.
+	Delay time.Duration
+	// LoseReplies is how many of the next writes take effect without an answer.
+	LoseReplies int
+	// Silent makes blocking queries wait their whole time, whatever changes.
+	Silent bool
+}
+
+type value struct {
+	data  []byte
+	index uint64
+}
+
+// Store is the stand-in; it is an http.Handler and safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	values  map[string]value
+	index   uint64
+	changed chan struct{}
+	faults  Faults
+	calls   int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{values: make(map[string]value), changed: make(chan struct{}), index: 1}
+}
+
+// Inject replaces the faults in force.
+func (s *Store) Inject(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP serves one call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	faults := s.begin()
+	if faults.Down {
+		<-r.Context().Done()
+		return
+	}
+	if faults.Refuse {
+		http.Error(w, "service unavailable", http.StatusInternalServerError)
+		return
+	}
+	select {
+	case <-time.After(faults.Delay):
+	case <-r.Context().Done():
+		return
+	}
+	key, ok := strings.CutPrefix(r.URL.Path, "/v1/kv/")
+	if !ok || key == "" {
+		http.NotFound(w, r)
+		return
+	}
+	switch r.Method {
+	case http.MethodGet:
+		s.get(w, r, key)
+	case http.MethodPut:
+		s.put(w, r, key)
+	default:
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+	}
+}
+
+func (s *Store) begin() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.faults
+}
+
+// pair is one key in an answer.
+type pair struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	CreateIndex uint64
+	LockIndex   uint64
+	Flags       uint64
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request, key string) {
+	query := r.URL.Query()
+	since, _ := strconv.ParseUint(query.Get("index"), 10, 64)
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil || wait > maxWait {
+		wait = maxWait
+	}
+	deadline := time.After(wait)
+	for {
+		pairs, index, changed := s.read(key, query.Has("recurse"))
+		if since == 0 || index > since {
+			answer(w, pairs, index)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			answer(w, pairs, index)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// read returns the pairs under key, the index of their last change and a channel that is closed by the next change.
+func (s *Store) read(key string, recurse bool) ([]pair, uint64, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var pairs []pair
+	index := uint64(1)
+	for k, v := range s.values {
+		if k == key || (recurse && strings.HasPrefix(k, key)) {
+			pairs = append(pairs, pair{Key: k, Value: v.data, ModifyIndex: v.index, CreateIndex: v.index})
+			index = max(index, v.index)
+		}
+	}
+	sort.Slice(pairs, func(i, k int) bool { return pairs[i].Key < pairs[k].Key })
+	if s.faults.Silent {
+		return pairs, index, nil
+	}
+	return pairs, index, s.changed
+}
+
+func answer(w http.ResponseWriter, pairs []pair, index uint64) {
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	if len(pairs) == 0 {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(pairs)
+}
+
+func (s *Store) put(w http.ResponseWriter, r *http.Request, key string) {
+	data, err := io.ReadAll(io.LimitReader(r.Body, maxValueSize+1))
+	if err != nil || len(data) > maxValueSize {
+		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+		return
+	}
+	written, lost := s.write(key, data, r.URL.Query().Get("cas"))
+	if lost {
+		panic(http.ErrAbortHandler) // Closes the connection without an answer.
+	}
+	_, _ = io.WriteString(w, strconv.FormatBool(written))
+}
+
+// write stores data when cas allows it; lost says that the answer must not reach the caller.
+func (s *Store) write(key string, data []byte, cas string) (written, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cas != "" {
+		expected, err := strconv.ParseUint(cas, 10, 64)
+		if err != nil || s.values[key].index != expected {
+			return false, false
+		}
+	}
+	s.index++
+	s.values[key] = value{data: data, index: s.index}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.faults.LoseReplies > 0 {
+		s.faults.LoseReplies--
+		return true, true
+	}
+	return true, false
+}
--- /dev/null
+++ b/internal/offer/offer.go
@@ -0,0 +1,153 @@
+// Package offer decides whether a request is run by the agent that got it or handed over to a peer.
+//
+// The decision rests on the agent's own load and on what peers last said of theirs; a report loses its
+// weight with age, and every request handed over since counts against it. The package is pure: time and
+// randomness come in as arguments. A decision costs time in proportion to the number of peers.
+package offer
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// reportLife is the age from which a peer's report is not used any more.
+	reportLife = 1500 * time.Millisecond
+	// tolerance is by how much an agent's utilization may exceed the mean before work is handed over.
+	tolerance = 0.03
+	// gain is the part of the excess over the mean that is handed over.
+	gain = 0.8
+)
+
+// Peer is another agent of the service, as it last reported.
+type Peer struct {
+	Control netip.AddrPort
+	// Reported is when the report came.
+	Reported time.Time
+	// Utilization is the recent share of busy slots, from 0 to 1.
+	Utilization float64
+	Free        int
+	Failing     bool
+	Draining    bool
+	// Sent is how many requests were handed to the peer since its report.
+	Sent int
+	// Failed is when a request handed to the peer last failed; zero for never.
+	Failed time.Time
+}
+
+// failedPause is how long a peer gets nothing after a request handed to it failed.
+const failedPause = time.Second
+
+// free returns the number of slots that the peer is believed to have free.
+func (p *Peer) free(now time.Time) int {
+	unusable := p.Failing || p.Draining || now.Sub(p.Reported) > reportLife
+	if unusable || now.Sub(p.Failed) < failedPause {
+		return 0
+	}
+	return p.Free - p.Sent
+}
+
+// Own is the state of the deciding agent.
+type Own struct {
+	Utilization float64
+	// Free is the number of free slots.
+	Free int
+	// Away says that the agent's server takes no new work: it drains or fails.
+	Away bool
+}
+
+// Why tells the reason for a decision.
+type Why uint8
+
+// The reasons.
+const (
+	// Stay runs the request here.
+	Stay Why = iota
+	// Full hands it over because all slots here are busy.
+	Full
+	// Balance hands it over because this server is busier than the others.
+	Balance
+	// Away hands it over because this server takes no new work.
+	Away
+)
+
+// Decide returns the index of the peer that should get a request, and why; -1 and Stay for none.
+// random is a number from 0 to 1 and decides between peers in proportion to their free slots.
+func Decide(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
+	switch {
+	case own.Away:
+		return withReason(pick(peers, now, random, freeWeight), Away)
+	case own.Free <= 0:
+		return withReason(pick(peers, now, random, freeWeight), Full)
+	default:
+		return balance(own, peers, now, random)
+	}
+}
+
+func withReason(i int, why Why) (int, Why) {
+	if i < 0 {
+		return -1, Stay
+	}
+	return i, why
+}
+
+// freeWeight weighs a peer by its free slots.
+func freeWeight(p *Peer, now time.Time) float64 { return float64(p.free(now)) }
+
+// balance hands over a part of the requests that is in proportion to the excess over the mean utilization.
+func balance(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
+	mean := meanUtilization(own, peers, now)
+	excess := own.Utilization - mean
+	if excess <= tolerance {
+		return -1, Stay
+	}
+	part := gain * excess / own.Utilization
+	if random >= part {
+		return -1, Stay
+	}
+	deficit := func(p *Peer, now time.Time) float64 {
+		if p.free(now) <= 0 {
+			return 0
+		}
+		return mean - p.Utilization
+	}
+	return withReason(pick(peers, now, random/part, deficit), Balance)
+}
+
+func meanUtilization(own Own, peers []Peer, now time.Time) float64 {
+	sum, n := own.Utilization, 1.0
+	for i := range peers {
+		p := &peers[i]
+		if p.Failing || p.Draining || now.Sub(p.Reported) > reportLife {
+			continue
+		}
+		sum += p.Utilization
+		n++
+	}
+	return sum / n
+}
+
+// pick returns a peer with a probability in proportion to its weight, or -1 when no weight is positive.
+func pick(peers []Peer, now time.Time, random float64, weight func(*Peer, time.Time) float64) int {
+	total := 0.0
+	for i := range peers {
+		total += max(0, weight(&peers[i], now))
+	}
+	if total <= 0 {
+		return -1
+	}
+	target := random * total
+	last := -1
+	for i := range peers {
+		w := weight(&peers[i], now)
+		if w <= 0 {
+			continue
+		}
+		last = i
+		if target < w {
+			return i
+		}
+		target -= w
+	}
+	return last
+}
--- /dev/null
+++ b/internal/packet/packet.go
@@ -0,0 +1,84 @@
+// Package packet reads the version-independent part of QUIC packet headers (RFC 8999).
+package packet
+
+import (
+	"encoding/binary"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// MinInitialSize is the smallest datagram, in bytes, that may open a flow (RFC 9000, section 14.1).
+	MinInitialSize = 1200
+	// MaxConnIDLen is the longest connection ID, in bytes, that QUIC versions 1 and 2 allow.
+	MaxConnIDLen = 20
+
+	longHeaderBit   = 0x80
+	versionOffset   = 1
+	dstLengthOffset = 5
+)
+
+// Errors that Parse returns.
+var (
+	ErrTruncated  = errors.New("packet: datagram ends inside its header")
+	ErrConnIDSize = errors.New("packet: connection ID is longer than 20 bytes")
+)
+
+// Header is the version-independent header of the first packet in a datagram.
+// Its slices refer to the parsed datagram.
+type Header struct {
+	Long    bool
+	Version uint32
+	// Dst is the destination connection ID.
+	Dst []byte
+	// Src is the source connection ID; it is nil in a short header.
+	Src []byte
+}
+
+// Parse reads the header of the first packet in datagram.
+// A short header doesn't tell the length of its connection ID, which therefore is shortLen bytes.
+// It returns ErrTruncated or ErrConnIDSize for a malformed header.
+func Parse(datagram []byte, shortLen int) (Header, error) {
+	if len(datagram) == 0 {
+		return Header{}, ErrTruncated
+	}
+	if datagram[0]&longHeaderBit != 0 {
+		return parseLong(datagram)
+	}
+	if len(datagram) < 1+shortLen {
+		return Header{}, ErrTruncated
+	}
+	return Header{Dst: datagram[1 : 1+shortLen]}, nil
+}
+
+func parseLong(datagram []byte) (Header, error) {
+	if len(datagram) <= dstLengthOffset {
+		return Header{}, ErrTruncated
+	}
+	h := Header{Long: true, Version: binary.BigEndian.Uint32(datagram[versionOffset:])}
+	dst, rest, err := readConnID(datagram[dstLengthOffset:])
+	if err != nil {
+		return Header{}, err
+	}
+	src, _, err := readConnID(rest)
+	if err != nil {
+		return Header{}, err
+	}
+	h.Dst, h.Src = dst, src
+	return h, nil
+}
+
+// readConnID splits a length-prefixed connection ID from the bytes after it.
+func readConnID(b []byte) (id, rest []byte, err error) {
+	if len(b) == 0 {
+		return nil, nil, ErrTruncated
+	}
+	n := int(b[0])
+	if n > MaxConnIDLen {
+		return nil, nil, ErrConnIDSize
+	}
+	if len(b) < 1+n {
+		return nil, nil, ErrTruncated
+	}
+	return b[1 : 1+n], b[1+n:], nil
+}
