--- a/internal/agent/know.go
+++ b/internal/agent/know.go
@@ -51,14 +51,6 @@
 	return before, &fresh
 }
 
-// heardEntry takes over an entry's own record.
-func (k *knower) heardEntry(rec view.Record) {
-	before := k.get()
-	fresh := *before
-	fresh.entries = mergeEntries(before.entries, []view.Record{rec})
-	k.now.Store(&fresh)
-}
-
 // maxEntries bounds the entries that an agent remembers.
 const maxEntries = 32
 
--- /dev/null
+++ b/internal/connid/connid_test.go
@@ -0,0 +1,87 @@
+package connid
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/bergamotrun/bergamotrun/internal/fleet"
+)
+
+func testRing(t testing.TB, numbers ...uint8) *fleet.Ring {
+	t.Helper()
+	var keys []fleet.Key
+	for _, n := range numbers {
+		keys = append(keys, fleet.NewKey(n))
+	}
+	ring, err := fleet.NewRing(numbers[len(numbers)-1], keys...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ring
+}
+
+func TestRoundTrip(t *testing.T) {
+	ring := testRing(t, 1, 7)
+	rapid.Check(t, func(t *rapid.T) {
+		ip := rapid.SliceOfN(rapid.Byte(), 4, 4).Draw(t, "ip")
+		home := Home{
+			Service:     rapid.Uint32Range(0, MaxService).Draw(t, "service"),
+			Agent:       netip.AddrPortFrom(netip.AddrFrom4([4]byte(ip)), rapid.Uint16().Draw(t, "port")),
+			Incarnation: Cut(rapid.Uint64().Draw(t, "incarnation")),
+		}
+		id, err := Encode(ring, home, rapid.Uint32().Draw(t, "counter"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var d Decoder
+		got, err := d.Decode(ring, id.Bytes())
+		if err != nil || got != home {
+			t.Fatalf("got %v, %v; want %v", got, err, home)
+		}
+	})
+}
+
+func TestKeysRotate(t *testing.T) {
+	is := is.New(t)
+	first, second := fleet.NewKey(1), fleet.NewKey(2)
+	before, err := fleet.NewRing(1, first)
+	is.NoErr(err)
+	both, err := fleet.NewRing(2, first, second)
+	is.NoErr(err)
+	after, err := fleet.NewRing(2, second)
+	is.NoErr(err)
+	home := Home{Service: 5, Agent: netip.MustParseAddrPort("10.1.2.3:7000"), Incarnation: 9}
+	id, err := Encode(before, home, 1)
+	is.NoErr(err)
+	var d Decoder
+	got, err := d.Decode(both, id.Bytes()) // A flow of the old key goes on while both are valid.
+	is.NoErr(err)
+	is.Equal(got, home)
+	_, err = d.Decode(after, id.Bytes())
+	is.Equal(err, ErrUnknownKey)
+}
+
+func TestRefusesWhatDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	ring := testRing(t, 1)
+	_, err := Encode(ring, Home{Agent: netip.MustParseAddrPort("[::1]:1")}, 1)
+	is.True(err != nil)
+	_, err = Encode(ring, Home{Service: MaxService + 1, Agent: netip.MustParseAddrPort("10.0.0.1:1")}, 1)
+	is.True(err != nil)
+	var d Decoder
+	_, err = d.Decode(ring, make([]byte, 16))
+	is.Equal(err, ErrLength)
+}
+
+func TestDecodeDoesNotAllocate(t *testing.T) {
+	is := is.New(t)
+	ring := testRing(t, 1)
+	id, err := Encode(ring, Home{Agent: netip.MustParseAddrPort("10.0.0.1:1")}, 1)
+	is.NoErr(err)
+	b := id.Bytes()
+	var d Decoder
+	is.Equal(testing.AllocsPerRun(100, func() { _, _ = d.Decode(ring, b) }), 0.0)
+}
--- a/internal/devel/check.go
+++ b/internal/devel/check.go
@@ -129,7 +129,7 @@
 	s := c.services[i%len(c.services)]
 	id := fmt.Sprintf("stream-%d", i)
 	path := fmt.Sprintf("/stream?count=%d&interval=%s", checkLines, checkInterval)
-	resp, err := c.send(ctx, i, s, http.MethodGet, path, id, "")
+	resp, err := c.send(ctx, i, order{method: http.MethodGet, path: path, id: id})
 	if err != nil {
 		c.note("%s: %v", id, err)
 		c.broken.Add(1)
@@ -158,7 +158,7 @@
 	if (i/len(c.services))%2 == 0 {
 		method, path, body = http.MethodPost, "/orders?ms=10", "3 pallets"
 	}
-	resp, err := c.send(ctx, i, s, method, path, id, body)
+	resp, err := c.send(ctx, i, order{method: method, path: path, id: id, body: body})
 	if err != nil {
 		c.note("%s: %v", id, err)
 		return
@@ -176,17 +176,22 @@
 	}
 }
 
-func (c *checker) send(ctx context.Context, i int, s *Service, method, path, id, body string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "https://"+s.Address.String()+path, strings.NewReader(body))
+// order is a request to be sent.
+type order struct{ method, path, id, body string }
+
+// send sends a request by the i-th caller to its service.
+func (c *checker) send(ctx context.Context, i int, o order) (*http.Response, error) {
+	s := c.services[i%len(c.services)]
+	req, err := http.NewRequestWithContext(ctx, o.method, "https://"+s.Address.String()+o.path, strings.NewReader(o.body))
 	if err != nil {
 		return nil, err
 	}
-	if body == "" {
+	if o.body == "" {
 		req.Body, req.GetBody, req.ContentLength = nil, nil, 0
 	}
 	req.Header.Set(sample.HeaderService, s.Spec.Name)
-	req.Header.Set(sample.HeaderID, id)
-	return c.callers[i%len(c.callers)].Do(req.Context(), req)
+	req.Header.Set(sample.HeaderID, o.id)
+	return c.callers[i%len(c.callers)].Do(ctx, req)
 }
 
 func (c *checker) result() CheckResult {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -162,7 +162,7 @@
 	defer cancel()
 	var g run.Group
 	e.addServers(&g)
-	e.addControllers(&g, inner)
+	e.addControllers(inner, &g)
 	g.Add(func() error { return e.lead(ctx, inner) }, func(error) { cancel() })
 	return g.Run()
 }
@@ -174,7 +174,7 @@
 }
 
 // addControllers adds the duties that end with a context.
-func (e *Entry) addControllers(g *run.Group, parent context.Context) {
+func (e *Entry) addControllers(parent context.Context, g *run.Group) {
 	duties := []func(context.Context) error{
 		e.applyChanges,
 		e.announce,
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -24,13 +24,11 @@
 // when it has one of them. It returns an error only when ctx ends.
 func (r *Roster) Join(ctx context.Context) error {
 	for {
-		if err := r.joinOnce(ctx); err == nil {
-			return nil
-		} else if ctx.Err() != nil {
+		err := r.joinOnce(ctx)
+		if err == nil || ctx.Err() != nil {
 			return err
-		} else {
-			r.log.Warn("neither an entry nor the store answered; trying again", zap.Error(err))
 		}
+		r.log.Warn("neither an entry nor the store answered; trying again", zap.Error(err))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- /dev/null
+++ b/internal/ticket/main_test.go
@@ -0,0 +1,9 @@
+package ticket
+
+import (
+	"testing"
+
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
+)
+
+func TestMain(m *testing.M) { ptest.Main(m) }
