--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,6 +25,8 @@
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/mmsg"
+	"github.com/bergamotrun/bergamotrun/internal/offer"
+	"github.com/bergamotrun/bergamotrun/internal/steer"
 	"github.com/bergamotrun/bergamotrun/internal/ticket"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
@@ -51,10 +53,30 @@
 	Directory Directory
 	Log       *zap.Logger
 	Vars      *expvar.Map
+	// Policy decides about flows and requests; nil fields mean the system's own decisions.
+	Policy Policy
 	// Notice is how long a stopping agent still serves by its peers before it ends its flows.
 	Notice time.Duration
 }
 
+// Policy holds decisions that a measurement replaces by a baseline.
+type Policy struct {
+	// Pass decides whether a new flow is passed on, as steer.Pass does.
+	Pass func(first, second steer.Agent, age time.Duration) bool
+	// Decide chooses the agent of a request, as offer.Decide does.
+	Decide func(own offer.Own, peers []offer.Peer, now time.Time, random float64) (int, offer.Why)
+}
+
+func (p Policy) withDefaults() Policy {
+	if p.Pass == nil {
+		p.Pass = steer.Pass
+	}
+	if p.Decide == nil {
+		p.Decide = offer.Decide
+	}
+	return p
+}
+
 // Directory finds entries in the platform's store.
 type Directory interface {
 	// Entries returns the control addresses of some entries.
@@ -103,6 +125,7 @@
 
 // New returns an agent that is bound to its addresses.
 func New(ctx context.Context, opts Options) (*Agent, error) {
+	opts.Policy = opts.Policy.withDefaults()
 	a := &Agent{
 		opts:      opts,
 		log:       opts.Log,
@@ -116,7 +139,7 @@
 	a.life, a.abort = context.WithCancel(context.WithoutCancel(ctx))
 	opts.Vars.Set("requests", a.counters)
 	opts.Vars.Set("flows", expvar.Func(func() any { return a.flows.Load() }))
-	a.peers = newPeerSet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	a.peers = newPeerSet(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), opts.Policy.Decide)
 	a.work = newWork(time.Now)
 	a.books = newBooks()
 	a.backend = newBackend(opts.Backend)
--- a/internal/agent/flow.go
+++ b/internal/agent/flow.go
@@ -101,7 +101,7 @@
 		Failing:  a.work.load().Failing,
 	}
 	other := steer.Agent{Flows: load.flows, Limit: limit, Draining: load.Draining, Failing: load.Failing}
-	if steer.Pass(own, other, age) {
+	if a.opts.Policy.Pass(own, other, age) {
 		return peer.Packets
 	}
 	return self.Packets
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -36,7 +36,8 @@
 
 // peerSet holds an agent's peers. It is safe for concurrent use.
 type peerSet struct {
-	http *http.Transport
+	http   *http.Transport
+	choose func(own offer.Own, peers []offer.Peer, now time.Time, random float64) (int, offer.Why)
 
 	mu       sync.Mutex
 	rand     *rand.Rand
@@ -45,7 +46,9 @@
 	lastTold time.Time
 }
 
-func newPeerSet(r *rand.Rand) *peerSet { return &peerSet{rand: r} }
+func newPeerSet(r *rand.Rand, choose func(offer.Own, []offer.Peer, time.Time, float64) (int, offer.Why)) *peerSet {
+	return &peerSet{rand: r, choose: choose}
+}
 
 // newPeerTransport returns the transport for requests that are handed over.
 func newPeerTransport(conf *tls.Config) *http.Transport {
@@ -134,7 +137,7 @@
 	for i := range s.peers {
 		list[i] = s.peers[i].Peer
 	}
-	i, why := offer.Decide(own, list, now, s.rand.Float64())
+	i, why := s.choose(own, list, now, s.rand.Float64())
 	if i < 0 {
 		return netip.AddrPort{}, offer.Stay
 	}
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -38,6 +38,8 @@
 	Spec *Spec
 	Seed uint64
 	Log  *zap.Logger
+	// Policy replaces the agents' decisions, for a measurement.
+	Policy func() agent.Policy
 }
 
 // Deployment is a running deployment.
@@ -312,7 +314,7 @@
 		TLS: &tls.Config{Certificates: []tls.Certificate{s.cert}, MinVersion: tls.VersionTLS13}, PathMTU: pathMTU,
 		Secret: d.Secret, Seeds: d.seedsNow(), Directory: store.New(d.StoreURL, "", new(expvar.Map)),
 		Log:  d.opts.Log.With(zap.String("role", "agent"), zap.String("target", t.Name)),
-		Vars: t.Vars, Notice: agentNotice,
+		Vars: t.Vars, Notice: agentNotice, Policy: d.policy(),
 	})
 	if err != nil {
 		cancel()
@@ -330,6 +332,13 @@
 	return d.seeds()
 }
 
+func (d *Deployment) policy() agent.Policy {
+	if d.opts.Policy == nil {
+		return agent.Policy{}
+	}
+	return d.opts.Policy()
+}
+
 // Stop drains the target's agent, waits until it has ended, and ends the backend server.
 func (t *Target) Stop() {
 	t.stop()
--- /dev/null
+++ b/internal/load/meter.go
@@ -0,0 +1,78 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// reading is what the backend servers have used and seen at one time.
+type reading struct {
+	at       time.Duration
+	busy     []time.Duration
+	requests []int
+	streams  []int
+}
+
+// meter reads the backend servers' use during a measurement.
+type meter struct {
+	r *runner
+
+	mu       sync.Mutex
+	readings []reading
+}
+
+func newMeter(r *runner) *meter { return &meter{r: r} }
+
+// meterInterval is the time between two readings.
+const meterInterval = 250 * time.Millisecond
+
+// run takes readings until ctx ends.
+func (m *meter) run(ctx context.Context, start time.Time) {
+	ticker := time.NewTicker(meterInterval)
+	defer ticker.Stop()
+	for {
+		m.read(time.Since(start))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (m *meter) read(at time.Duration) {
+	now := reading{at: at}
+	for _, t := range m.r.service.Targets {
+		busy, streams := t.Server.Busy()
+		now.busy = append(now.busy, busy)
+		now.streams = append(now.streams, streams)
+		now.requests = append(now.requests, t.Server.Requests())
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.readings = append(m.readings, now)
+}
+
+// usage returns the readings so far.
+func (m *meter) usage() []reading {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.readings
+}
+
+// between returns what the servers used from the first reading at or after one time to the last before another.
+func between(readings []reading, from, to time.Duration) (first, last reading) {
+	for _, r := range readings {
+		if r.at < from {
+			continue
+		}
+		if first.busy == nil {
+			first = r
+		}
+		if r.at <= to {
+			last = r
+		}
+	}
+	return first, last
+}
--- /dev/null
+++ b/internal/load/policy.go
@@ -0,0 +1,37 @@
+package load
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/bergamotrun/bergamotrun/internal/agent"
+	"github.com/bergamotrun/bergamotrun/internal/offer"
+	"github.com/bergamotrun/bergamotrun/internal/steer"
+)
+
+// Own is the name of the system's own policy.
+const Own = "own"
+
+// policies are the policies that can be measured.
+var policies = map[string]func() agent.Policy{
+	Own: func() agent.Policy { return agent.Policy{} },
+	// hash leaves each request where its flow was placed.
+	"hash": func() agent.Policy { return agent.Policy{Pass: passNone, Decide: stay} },
+	// rotate gives the requests of each flow to all servers in turn, whatever their load.
+	"rotate": func() agent.Policy { return agent.Policy{Pass: passNone, Decide: rotate()} },
+}
+
+func passNone(steer.Agent, steer.Agent, time.Duration) bool { return false }
+
+func stay(offer.Own, []offer.Peer, time.Time, float64) (int, offer.Why) { return -1, offer.Stay }
+
+func rotate() func(offer.Own, []offer.Peer, time.Time, float64) (int, offer.Why) {
+	var next atomic.Uint64
+	return func(_ offer.Own, peers []offer.Peer, _ time.Time, _ float64) (int, offer.Why) {
+		i := int(next.Add(1)) % (len(peers) + 1)
+		if i == len(peers) {
+			return -1, offer.Stay
+		}
+		return i, offer.Away // The peer queues the request where it has no free slot.
+	}
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,278 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/bergamotrun/bergamotrun/pkg/contr"
+)
+
+// Result is the result of one measurement. Latencies are in milliseconds.
+type Result struct {
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	Seed     uint64 `json:"seed"`
+	Requests int    `json:"requests"`
+	Answered int    `json:"answered"`
+	// Late counts answers after the deadline, Errors those by a server's error.
+	Late    int `json:"late"`
+	Errors  int `json:"errors"`
+	Refused int `json:"refused"`
+	// RefusedLate counts refusals later than 100 ms after the arrival, NoRetryAfter those without a time to come back.
+	RefusedLate  int `json:"refused_late"`
+	NoRetryAfter int `json:"no_retry_after"`
+	// Lost counts requests without any answer.
+	Lost   int `json:"lost"`
+	Wrong  int `json:"wrong"`
+	Broken int `json:"broken_streams"`
+
+	ShortP50   float64 `json:"short_p50_ms"`
+	ShortP99   float64 `json:"short_p99_ms"`
+	BoundP99   float64 `json:"bound_p99_ms"`
+	RefusedP99 float64 `json:"refused_p99_ms"`
+	// Imbalance is the largest to the mean busy part of the servers' slots.
+	Imbalance float64 `json:"imbalance"`
+	// StreamImbalance is the largest to the mean number of long answers.
+	StreamImbalance float64 `json:"stream_imbalance"`
+	// CrestGoodput is the work answered in time during the crest in proportion to the capacity.
+	CrestGoodput float64 `json:"crest_goodput"`
+	// Recovery is how long after the crest short requests still took more than twice their time before it.
+	Recovery float64 `json:"recovery_ms"`
+	// Attempts is the number of requests that servers saw in proportion to those that callers sent.
+	Attempts float64 `json:"attempts"`
+	// Drawn is the part of requests that an event's server got from 2 s after it, in proportion to its fair part.
+	Drawn float64 `json:"drawn"`
+}
+
+const (
+	refuseLimit  = 100 * time.Millisecond
+	maxLatency   = int64(time.Hour / time.Microsecond)
+	histDigits   = 3
+	microsPerMs  = 1000
+	percentile50 = 50
+	percentile99 = 99
+)
+
+// histogram records latencies.
+type histogram struct{ h *hdrhistogram.Histogram }
+
+func newHistogram() histogram { return histogram{hdrhistogram.New(1, maxLatency, histDigits)} }
+
+func (h histogram) add(d time.Duration) { _ = h.h.RecordValue(max(1, d.Microseconds())) }
+
+// at returns a percentile in milliseconds.
+func (h histogram) at(percentile float64) float64 {
+	return float64(h.h.ValueAtPercentile(percentile)) / microsPerMs
+}
+
+// result evaluates the measurement without its warm-up.
+func (r *runner) result(usage []reading) *Result {
+	res := &Result{Scenario: r.scenario.Name, Policy: r.opts.Policy, Seed: r.scenario.Seed, Wrong: r.wrong, Broken: r.broken}
+	shorts, refusals := newHistogram(), newHistogram()
+	for i := range r.arrivals {
+		if r.arrivals[i].at < r.scenario.Warmup.Std() {
+			continue
+		}
+		r.count(res, i, shorts, refusals)
+	}
+	res.ShortP50, res.ShortP99 = shorts.at(percentile50), shorts.at(percentile99)
+	res.RefusedP99 = refusals.at(percentile99)
+	res.BoundP99 = r.boundP99()
+	first, last := between(usage, r.scenario.Warmup.Std(), r.scenario.length())
+	res.Imbalance = r.imbalance(first, last)
+	res.StreamImbalance = streamImbalance(last)
+	res.Attempts = r.attempts(first, last, res.Requests)
+	res.CrestGoodput, res.Recovery = r.crest()
+	res.Drawn = r.drawn(usage)
+	return res
+}
+
+func (r *runner) count(res *Result, i int, shorts, refusals histogram) {
+	a, o := &r.arrivals[i], &r.outcomes[i]
+	res.Requests++
+	switch {
+	case o.run == contr.RunNot:
+		res.Refused++
+		refusals.add(o.took)
+		if o.took > refuseLimit {
+			res.RefusedLate++
+		}
+		if !o.retry {
+			res.NoRetryAfter++
+		}
+	case o.err != nil || o.code == 0:
+		res.Lost++
+	case o.code != http.StatusOK:
+		res.Errors++
+	case a.kind != straggler && o.took > r.scenario.Deadline.Std():
+		res.Late++
+	default:
+		res.Answered++
+		if a.kind == short {
+			shorts.add(o.took)
+		}
+	}
+}
+
+// boundP99 returns the 99th percentile of short requests in the lower bound.
+func (r *runner) boundP99() float64 {
+	var slowness []float64
+	for i := range r.service.Spec.Targets {
+		slowness = append(slowness, r.slowness(i))
+	}
+	h := newHistogram()
+	for i, d := range bound(r.arrivals, r.service.Spec.Slots, slowness) {
+		if r.arrivals[i].kind == short && r.arrivals[i].at >= r.scenario.Warmup.Std() {
+			h.add(d)
+		}
+	}
+	return h.at(percentile99)
+}
+
+func (r *runner) imbalance(first, last reading) float64 {
+	var used []float64
+	for i := range first.busy {
+		if i < len(last.busy) {
+			used = append(used, float64(last.busy[i]-first.busy[i]))
+		}
+	}
+	return largestToMean(used)
+}
+
+func streamImbalance(last reading) float64 {
+	var held []float64
+	for _, n := range last.streams {
+		held = append(held, float64(n))
+	}
+	return largestToMean(held)
+}
+
+func largestToMean(list []float64) float64 {
+	sum, largest := 0.0, 0.0
+	for _, v := range list {
+		sum += v
+		largest = max(largest, v)
+	}
+	if sum == 0 {
+		return 0
+	}
+	return largest * float64(len(list)) / sum
+}
+
+func (r *runner) attempts(first, last reading, requests int) float64 {
+	seen := 0
+	for i := range first.requests {
+		if i < len(last.requests) {
+			seen += last.requests[i] - first.requests[i]
+		}
+	}
+	return float64(seen) / float64(max(1, requests))
+}
+
+// crest returns the goodput during the crest and the time until latency was normal again.
+func (r *runner) crest() (goodput, recovery float64) {
+	if r.scenario.Crest.Factor == 1 {
+		return 0, 0
+	}
+	from := r.scenario.Warmup.Std() + r.scenario.Crest.At.Std()
+	to := from + r.scenario.Crest.For.Std()
+	before := newHistogram()
+	work := 0.0
+	r.inTime(func(a *arrival, o *outcome) {
+		ended := a.at + o.took
+		if a.at >= r.scenario.Warmup.Std() && ended < from {
+			before.add(o.took)
+		}
+		if ended >= from && ended < to {
+			work += a.work.Seconds()
+		}
+	})
+	normal := 2 * before.at(percentile99)
+	r.inTime(func(a *arrival, o *outcome) {
+		if a.at >= to && float64(o.took)/float64(time.Millisecond) > normal {
+			recovery = float64(a.at-to) / float64(time.Millisecond)
+		}
+	})
+	return work / (r.capacity() * r.scenario.Crest.For.Std().Seconds()), recovery
+}
+
+// inTime calls f with the requests that were answered before their deadline.
+func (r *runner) inTime(f func(a *arrival, o *outcome)) {
+	for i := range r.arrivals {
+		o := &r.outcomes[i]
+		if o.code == http.StatusOK && o.took <= r.scenario.Deadline.Std() {
+			f(&r.arrivals[i], o)
+		}
+	}
+}
+
+// drawn returns the part of requests that the first event's server got in proportion to its fair part by speed.
+func (r *runner) drawn(usage []reading) float64 {
+	if len(r.scenario.Event) == 0 {
+		return 0
+	}
+	e := r.scenario.Event[0]
+	if e.Target < 0 || (e.Kind != Slow && e.Kind != Fail) {
+		return 0
+	}
+	const settle = 2 * time.Second
+	first, last := between(usage, r.scenario.Warmup.Std()+e.At.Std()+settle, r.scenario.length())
+	if first.requests == nil || last.requests == nil {
+		return 0
+	}
+	total, own := 0, last.requests[e.Target]-first.requests[e.Target]
+	fairTotal, fairOwn := 0.0, 0.0
+	for i := range first.requests {
+		total += last.requests[i] - first.requests[i]
+		work := r.scenario.meanWork().Seconds() * r.slowness(i)
+		if i == e.Target {
+			work += e.Delay.Std().Seconds()
+			fairOwn = 1 / work
+		}
+		fairTotal += 1 / work
+	}
+	return float64(own) / float64(max(1, total)) * fairTotal / fairOwn
+}
+
+// WriteText writes a result as text.
+func (res *Result) WriteText(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	rows := []struct {
+		name  string
+		value any
+	}{
+		{"scenario", res.Scenario}, {"policy", res.Policy}, {"seed", res.Seed}, {"requests", res.Requests},
+		{"answered in time", res.Answered}, {"late", res.Late}, {"server errors", res.Errors},
+		{"refused", res.Refused}, {"refused after 100 ms", res.RefusedLate}, {"refused without Retry-After", res.NoRetryAfter},
+		{"lost", res.Lost}, {"wrong", res.Wrong}, {"broken streams", res.Broken},
+		{"short p50 ms", res.ShortP50}, {"short p99 ms", res.ShortP99}, {"lower bound p99 ms", res.BoundP99},
+		{"refused p99 ms", res.RefusedP99}, {"imbalance", ratio(res.Imbalance)}, {"stream imbalance", ratio(res.StreamImbalance)},
+		{"crest goodput", ratio(res.CrestGoodput)}, {"recovery ms", res.Recovery}, {"attempts", ratio(res.Attempts)},
+		{"drawn by the event's server", ratio(res.Drawn)},
+	}
+	for _, row := range rows {
+		if _, err := fmt.Fprintf(t, "%s\t%v\n", row.name, row.value); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
+
+func ratio(v float64) string { return fmt.Sprintf("%.3f", v) }
+
+// WriteTable writes one line for each result.
+func WriteTable(w io.Writer, results []*Result) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "scenario\tpolicy\trequests\tanswered\tlate\terrors\trefused\t>100ms\tlost\twrong\tbroken\tp50\tp99\tbound p99\timbal\tstreams\tcrest\trecovery\tattempts\tdrawn\t")
+	for _, r := range results {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%.3f\t\n",
+			r.Scenario, r.Policy, r.Requests, r.Answered, r.Late, r.Errors, r.Refused, r.RefusedLate, r.Lost, r.Wrong, r.Broken,
+			r.ShortP50, r.ShortP99, r.BoundP99, r.Imbalance, r.StreamImbalance, r.CrestGoodput, r.Recovery, r.Attempts, r.Drawn)
+	}
+	return t.Flush()
+}
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -102,7 +102,7 @@
 		}
 		uncertain = uncertain || next.uncertain
 		last = next.err
-		if err := pause(ctx, attempt, next.after); err != nil {
+		if attempt+1 == c.opts.Attempts || pause(ctx, attempt, next.after) != nil {
 			break
 		}
 	}
@@ -112,6 +112,16 @@
 	return nil, last
 }
 
+// DoOnce sends a request once, with a ticket where one is needed, and returns the answer as it is,
+// also one by which the system refuses the request.
+func (c *Client) DoOnce(ctx context.Context, req *http.Request) (*http.Response, error) {
+	req = req.Clone(ctx)
+	if err := c.addTicket(ctx, req); err != nil {
+		return nil, err
+	}
+	return c.attempt(ctx, req)
+}
+
 // attempt sends the request once.
 func (c *Client) attempt(ctx context.Context, req *http.Request) (*http.Response, error) {
 	out := req.Clone(ctx)
