Hold small bodies instead of asking the peer to wait for them

Cause: a request with a body was handed over with Expect: 100-continue. Ruled out: slow acceptance by the peer (GET was never hit).

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -62,21 +62,6 @@
 
 func (b *backend) close() { b.http.CloseIdleConnections() }
 
-// onceBody is a request body that the transport can't send twice, so that it repeats nothing by itself.
-type onceBody struct {
-	io.Reader
-	read *atomic.Bool
-}
-
-// Read reads from the body.
-func (b onceBody) Read(p []byte) (int, error) {
-	b.read.Store(true)
-	return b.Reader.Read(p)
-}
-
-// Close does nothing: the server closes the body when the handler returns.
-func (onceBody) Close() error { return nil }
-
 // send runs a call at the backend server and passes its answer on.
 func (b *backend) send(ctx context.Context, c *call) result {
 	var reached atomic.Bool
@@ -110,12 +95,9 @@
 	out.Header = c.r.Header.Clone()
 	removeHops(out.Header)
 	removeOwn(out.Header)
-	if c.r.Body != nil && c.r.ContentLength != 0 {
-		out.Body = onceBody{Reader: c.r.Body, read: new(atomic.Bool)}
-	} else if c.idempotent {
-		out.Body = nil
-	} else {
-		out.Body = onceBody{Reader: strings.NewReader(""), read: new(atomic.Bool)}
+	out.Body = c.body.reader()
+	if c.r.ContentLength == 0 && c.idempotent {
+		out.Body = nil // The transport may repeat it by itself.
 	}
 	if host, _, err := net.SplitHostPort(c.r.RemoteAddr); err == nil {
 		out.Header.Set("X-Forwarded-For", host)
--- a/internal/agent/books.go
+++ b/internal/agent/books.go
@@ -94,7 +94,6 @@
 func (a *Agent) filterTicket(next handler) handler {
 	return func(c *call) {
 		text := c.r.Header.Get(contr.HeaderTicket)
-		c.r.Body = &countedBody{ReadCloser: c.r.Body}
 		switch {
 		case c.idempotent || c.mode == modeSpare || c.mode == modeQueue:
 			next(c)
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -29,6 +29,7 @@
 type call struct {
 	w          *answerWriter
 	r          *http.Request
+	body       *body
 	mode       mode
 	record     contr.Record
 	deadline   time.Time
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -31,27 +31,6 @@
 	voidTimeout = 500 * time.Millisecond
 )
 
-// bodyRead reports whether a part of the request's body has been sent on, so that it can't be sent again.
-func (c *call) bodyRead() bool {
-	b, ok := c.r.Body.(*countedBody)
-	return ok && b.read.Load()
-}
-
-// countedBody notes whether anything was read of a body.
-type countedBody struct {
-	io.ReadCloser
-	read atomic.Bool
-}
-
-// Read reads from the body.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.read.Store(true)
-	}
-	return n, err
-}
-
 // handOver sends a call to a peer and passes its answer on.
 //
 // The peer says at once whether it accepts the request. Where it doesn't, the connection may have gone
@@ -105,9 +84,6 @@
 	if t := c.r.Header.Get(contr.HeaderTicket); t != "" && m == modeTicket {
 		out.Header.Set(contr.HeaderTicket, t)
 	}
-	if c.r.ContentLength != 0 {
-		out.Header.Set("Expect", "100-continue")
-	}
 	return out
 }
 
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -89,7 +89,7 @@
 			c.refuse(refusal{code: http.StatusRequestEntityTooLarge, run: contr.RunNot, reason: reason})
 			return
 		}
-		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, maxBodySize)
+		c.body = &body{source: http.MaxBytesReader(c.w, c.r.Body, maxBodySize), size: c.r.ContentLength}
 		next(c)
 	}
 }
@@ -173,6 +173,14 @@
 	if why == offer.Away {
 		m = modeQueue
 	}
+	again, err := c.body.hold()
+	if err != nil {
+		c.refuse(refusal{code: http.StatusBadRequest, run: contr.RunNot, reason: err.Error()})
+		return true
+	}
+	if !again && m == modeSpare {
+		return false // A large body is sent once, to where it is sure to be taken.
+	}
 	res := a.handOver(ctx, c, peer, m)
 	switch res.fate {
 	case fateAnswered:
@@ -181,10 +189,15 @@
 	case fateRejected:
 		a.counters.Add("handover_rejected", 1)
 		a.peers.rejected(peer)
-		return false
+		if !c.body.spent() {
+			return false
+		}
+		a.refuseBusy(c, "no server had room")
+		return true
 	}
 	a.peers.failed(peer, time.Now())
-	a.log.Info("a peer didn't answer a request", zap.Stringer("peer", peer), zap.Bool("may_have_run", res.fate == fateUnknown), zap.Error(res.err))
+	a.log.Info("a peer didn't answer a request", zap.Stringer("peer", peer), zap.String("class", c.class()), zap.String("mode", string(m)),
+		zap.Bool("may_have_run", res.fate == fateUnknown), zap.Error(res.err))
 	if a.mayRepeat(c, res) {
 		return false
 	}
@@ -195,7 +208,7 @@
 // mayRepeat reports whether a call that failed elsewhere may be sent again.
 func (a *Agent) mayRepeat(c *call, res result) bool {
 	harmless := res.fate == fateNotRun || c.idempotent
-	if !harmless || c.w.wrote || c.bodyRead() {
+	if !harmless || c.w.wrote || c.body.spent() {
 		return false
 	}
 	return a.books.mayRepeat()
