Hand over requests without a body, and let answers carry the peer's load

Besides, load news came only every 500 ms; they now come with each answer between agents, and the room of a peer is estimated from its utilization as the news age. Ruled out: wrong choice of peers (rejections were few).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -318,6 +318,7 @@
 	// Utilization is the recent share of busy slots, from 0 to 1.
 	Utilization float64
 	Free        int
+	Slots       int
 	Running     int
 	Queued      int
 	Failing     bool
@@ -329,6 +330,7 @@
 	return Load{
 		Utilization: min(1, s.busy/float64(max(1, s.Slots(now)))),
 		Free:        s.Free(now),
+		Slots:       s.Slots(now),
 		Running:     len(s.running),
 		Queued:      len(s.queue),
 		Failing:     s.Failing(),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -105,7 +105,9 @@
 	tickets   *ticket.Codec
 	counters  *expvar.Map
 
-	flows    atomic.Int64
+	flows atomic.Int64
+	// opening is the number of flows taken whose handshake isn't over.
+	opening  atomic.Int64
 	draining atomic.Bool
 	// leaving says that this process ends, as opposed to its backend server draining.
 	leaving atomic.Bool
@@ -276,6 +278,9 @@
 	return connid.Home{Service: self.Service, Agent: self.Packets, Incarnation: connid.Cut(self.Incarnation)}
 }
 
+// flowCount returns the number of flows that the agent holds or has taken.
+func (a *Agent) flowCount() int { return int(a.flows.Load() + a.opening.Load()) }
+
 // limitFlows refuses a flow above the contract's limit.
 func (a *Agent) limitFlows(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
 	if limit := a.know.get().record.Contract.Connections; a.flows.Load() >= int64(limit) {
@@ -287,6 +292,9 @@
 
 func (a *Agent) countFlow(ctx context.Context, conn *quic.Conn) context.Context {
 	a.flows.Add(1)
+	if a.opening.Add(-1) < 0 {
+		a.opening.Store(0)
+	}
 	context.AfterFunc(conn.Context(), func() { a.flows.Add(-1) })
 	return ctx
 }
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -97,6 +97,8 @@
 	// keep says that a copy is wanted; it is given up for a large body.
 	keep bool
 	body []byte
+	// beforeAnswer is called before the header of the final answer is sent; it may be nil.
+	beforeAnswer func()
 	// gone says that the caller doesn't take the answer any more.
 	gone bool
 }
@@ -109,6 +111,9 @@
 			return
 		}
 		w.wrote, w.code = true, code
+		if w.beforeAnswer != nil {
+			w.beforeAnswer()
+		}
 	}
 	w.ResponseWriter.WriteHeader(code)
 }
--- a/internal/agent/flow.go
+++ b/internal/agent/flow.go
@@ -82,6 +82,9 @@
 		return netip.AddrPort{}, false
 	}
 	a.choices.put(key, chosen, now)
+	if chosen == self.Packets {
+		a.opening.Add(1)
+	}
 	return chosen, true
 }
 
@@ -95,13 +98,14 @@
 	k := a.know.get()
 	limit := k.record.Contract.Connections
 	own := steer.Agent{
-		Flows:    int(a.flows.Load()),
+		Flows:    a.flowCount(),
 		Limit:    limit,
 		Draining: a.draining.Load(),
 		Failing:  a.work.load().Failing,
 	}
-	other := steer.Agent{Flows: load.flows, Limit: limit, Draining: load.Draining, Failing: load.Failing}
+	other := steer.Agent{Flows: load.flows + load.passed, Limit: limit, Draining: load.Draining, Failing: load.Failing}
 	if a.opts.Policy.Pass(own, other, age) {
+		a.peers.passedFlow(peer.Control)
 		return peer.Packets
 	}
 	return self.Packets
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/pkg/contr"
 )
 
@@ -23,6 +25,7 @@
 	headerMode     = "Bergamot-Mode"
 	headerService  = "Bergamot-Service"
 	headerRejected = "Bergamot-Rejected"
+	headerLoad     = "Bergamot-Load"
 	voidPath       = "/.bergamot/void"
 
 	// acceptTimeout is how long a peer may take to accept a request or to reject it.
@@ -48,9 +51,10 @@
 	defer timer.Stop()
 	trace := &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { reached.Store(true) },
-		Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
 			if code == http.StatusProcessing {
 				accepted.Store(true)
+				a.learnLoad(to, http.Header(h))
 			}
 			return nil
 		},
@@ -66,6 +70,7 @@
 	}
 	accepted.Store(true)
 	defer func() { _ = resp.Body.Close() }()
+	a.learnLoad(to, resp.Header)
 	if resp.Header.Get(headerRejected) != "" {
 		_, _ = io.Copy(io.Discard, resp.Body) // Lets the connection be used again.
 		return result{fate: fateRejected}
@@ -147,11 +152,32 @@
 	}
 }
 
+// showLoad puts the agent's load into an answer to a peer.
+func (a *Agent) showLoad(c *call) {
+	load := a.ownLoad()
+	c.w.Header().Set(headerLoad, fmt.Sprintf("%d %d %t", load.Utilization, load.Free, load.Failing))
+}
+
+// learnLoad takes the load that a peer put into its answer.
+func (a *Agent) learnLoad(from netip.AddrPort, h http.Header) {
+	var load ctrl.Load
+	if _, err := fmt.Sscanf(h.Get(headerLoad), "%d %d %t", &load.Utilization, &load.Free, &load.Failing); err != nil {
+		return
+	}
+	h.Del(headerLoad)
+	a.peers.answered(from, load, time.Now())
+}
+
 // reject tells the peer that its request has not run and won't.
 func (a *Agent) reject(c *call) {
+	a.showLoad(c)
 	c.w.Header().Set(headerRejected, "true")
 	c.refuse(refusal{code: http.StatusServiceUnavailable, run: contr.RunNot, reason: "no room"})
 }
 
 // accept tells a peer that its request was accepted and will be answered.
-func (*Agent) accept(c *call) { c.w.WriteHeader(http.StatusProcessing) }
+func (a *Agent) accept(c *call) {
+	a.showLoad(c)
+	c.w.WriteHeader(http.StatusProcessing)
+	c.w.beforeAnswer = func() { a.showLoad(c) }
+}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -32,6 +32,8 @@
 	record view.Record
 	queued int
 	flows  int
+	// passed is the number of flows passed on to the peer since its report.
+	passed int
 }
 
 // peerSet holds an agent's peers. It is safe for concurrent use.
@@ -107,24 +109,32 @@
 
 // heard takes a peer's report and reports whether it has free slots.
 func (s *peerSet) heard(load ctrl.Load, now time.Time) (free bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := range s.peers {
-		p := &s.peers[i]
-		if p.record.Control != load.Record.Control || p.record.Incarnation != load.Record.Incarnation {
-			continue
+	s.with(load.Record.Control, func(p *peer) {
+		if p.record.Incarnation != load.Record.Incarnation {
+			return
 		}
-		p.Reported = now
-		p.Utilization = float64(load.Utilization) / thousand
-		p.Free = load.Free
-		p.Failing = load.Failing
+		p.take(load, now)
 		p.Draining = load.Record.State != view.Up
-		p.Sent = 0
 		p.queued = load.Queued
 		p.flows = load.Flows
-		return load.Free > 0 && !p.Failing && !p.Draining
-	}
-	return false
+		p.passed = 0
+		free = load.Free > 0 && !p.Failing && !p.Draining
+	})
+	return free
+}
+
+// answered takes the load that a peer told with its answer to a request.
+func (s *peerSet) answered(control netip.AddrPort, load ctrl.Load, now time.Time) {
+	s.with(control, func(p *peer) { p.take(load, now) })
+}
+
+// take takes over what a report says of the slots.
+func (p *peer) take(load ctrl.Load, now time.Time) {
+	p.Reported = now
+	p.Utilization = float64(load.Utilization) / thousand
+	p.Free = load.Free
+	p.Failing = load.Failing
+	p.Sent = 0
 }
 
 const thousand = 1000
@@ -150,9 +160,9 @@
 	s.with(control, func(p *peer) { p.Failed = now })
 }
 
-// rejected notes that a peer had no free slot.
-func (s *peerSet) rejected(control netip.AddrPort) {
-	s.with(control, func(p *peer) { p.Free = 0 })
+// passedFlow notes that a flow was passed on to a peer.
+func (s *peerSet) passedFlow(control netip.AddrPort) {
+	s.with(control, func(p *peer) { p.passed++ })
 }
 
 func (s *peerSet) with(control netip.AddrPort, f func(*peer)) {
@@ -220,6 +230,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			a.opening.Store(a.opening.Load() / 2) // Handshakes that were given up.
 			a.tellLoad()
 		}
 	}
@@ -231,19 +242,24 @@
 // tellFree reports the load to the peers whose requests wait.
 func (a *Agent) tellFree() { a.sendLoad(a.peers.audience(true, time.Now())) }
 
-func (a *Agent) sendLoad(to []netip.AddrPort) {
-	if len(to) == 0 {
-		return
-	}
+// ownLoad returns the load as peers are told of it.
+func (a *Agent) ownLoad() ctrl.Load {
 	load := a.work.load()
-	msg := ctrl.Load{
+	return ctrl.Load{
 		Record:      a.record(),
 		Utilization: uint16(load.Utilization * thousand),
 		Free:        load.Free,
 		Queued:      load.Queued,
-		Flows:       int(a.flows.Load()),
+		Flows:       a.flowCount(),
 		Failing:     load.Failing,
 	}
+}
+
+func (a *Agent) sendLoad(to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	msg := a.ownLoad()
 	for _, addr := range to {
 		_ = ctrl.Send(a.link, addr, ctrl.KindLoad, msg)
 	}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -81,6 +81,11 @@
 	}
 }
 
+// bodiless are the methods whose requests have no body unless they tell its length.
+var bodiless = map[string]bool{
+	http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true, http.MethodTrace: true, http.MethodDelete: true,
+}
+
 // filterBody bounds the body of a request.
 func (a *Agent) filterBody(next handler) handler {
 	return func(c *call) {
@@ -89,6 +94,9 @@
 			c.refuse(refusal{code: http.StatusRequestEntityTooLarge, run: contr.RunNot, reason: reason})
 			return
 		}
+		if c.r.ContentLength < 0 && bodiless[c.r.Method] {
+			c.r.ContentLength = 0 // HTTP/3 tells no length for a request without a body.
+		}
 		c.body = &body{source: http.MaxBytesReader(c.w, c.r.Body, maxBodySize), size: c.r.ContentLength}
 		next(c)
 	}
@@ -157,7 +165,7 @@
 		return netip.AddrPort{}, offer.Stay
 	}
 	load := a.work.load()
-	own := offer.Own{Utilization: load.Utilization, Free: load.Free, Away: a.away() || load.Failing}
+	own := offer.Own{Utilization: load.Utilization, Free: load.Free, Slots: load.Slots, Away: a.away() || load.Failing}
 	if own.Away && !a.away() && rand.Float64() < probePart {
 		own.Away = false // A failing server gets a few requests, to show that it has recovered.
 	}
@@ -188,7 +196,6 @@
 		return true
 	case fateRejected:
 		a.counters.Add("handover_rejected", 1)
-		a.peers.rejected(peer)
 		if !c.body.spent() {
 			return false
 		}
@@ -313,7 +320,7 @@
 
 // anyPeer returns a peer with a free slot, whatever the load here.
 func (a *Agent) anyPeer() (netip.AddrPort, offer.Why) {
-	return a.peers.decide(offer.Own{Away: true}, time.Now())
+	return a.peers.decide(offer.Own{Away: true, Slots: a.work.load().Slots}, time.Now())
 }
 
 // runStream runs a call whose answer is long; it takes no slot.
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -11,6 +11,9 @@
 // advanceInterval is the time between two looks at the waiting requests for those that can't end in time.
 const advanceInterval = 20 * time.Millisecond
 
+// offersPerRound is how many waiting requests look for a peer at each look.
+const offersPerRound = 2
+
 // turn is what a waiting request is told.
 type turn uint8
 
@@ -157,7 +160,7 @@
 	}
 }
 
-// runWork refuses waiting requests that can't end in time, until ctx ends.
+// runWork refuses waiting requests that can't end in time, and lets some look for a peer, until ctx ends.
 func (a *Agent) runWork(ctx context.Context) error {
 	ticker := time.NewTicker(advanceInterval)
 	defer ticker.Stop()
@@ -169,6 +172,7 @@
 			a.work.mu.Lock()
 			a.work.advance()
 			a.work.mu.Unlock()
+			a.work.release(offersPerRound)
 		}
 	}
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -47,6 +48,34 @@
 	Attempts float64 `json:"attempts"`
 	// Drawn is the part of requests that an event's server got from 2 s after it, in proportion to its fair part.
 	Drawn float64 `json:"drawn"`
+	// Servers tells what each backend server did.
+	Servers []ServerUse `json:"servers"`
+}
+
+// ServerUse is what one backend server did during the measurement.
+type ServerUse struct {
+	Slowness float64 `json:"slowness"`
+	// Busy is the part of its slots that were busy.
+	Busy     float64 `json:"busy"`
+	Requests int     `json:"requests"`
+	Streams  int     `json:"streams"`
+	// Agent holds the counters of its agent.
+	Agent json.RawMessage `json:"agent"`
+}
+
+func (r *runner) servers(first, last reading) []ServerUse {
+	var out []ServerUse
+	span := float64(last.at-first.at) * float64(r.service.Spec.Slots)
+	for i := range first.busy {
+		out = append(out, ServerUse{
+			Slowness: r.slowness(i),
+			Busy:     float64(last.busy[i]-first.busy[i]) / span,
+			Requests: last.requests[i] - first.requests[i],
+			Streams:  last.streams[i],
+			Agent:    json.RawMessage(r.service.Targets[i].Vars.Get("requests").String()),
+		})
+	}
+	return out
 }
 
 const (
@@ -84,6 +113,7 @@
 	res.RefusedP99 = refusals.at(percentile99)
 	res.BoundP99 = r.boundP99()
 	first, last := between(usage, r.scenario.Warmup.Std(), r.scenario.length())
+	res.Servers = r.servers(first, last)
 	res.Imbalance = r.imbalance(first, last)
 	res.StreamImbalance = streamImbalance(last)
 	res.Attempts = r.attempts(first, last, res.Requests)
--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -13,6 +13,10 @@
 const (
 	// reportLife is the age from which a peer's report is not used any more.
 	reportLife = 1500 * time.Millisecond
+	// memory is how long a report of free slots is trusted more than the mean utilization.
+	memory = 150 * time.Millisecond
+	// minRoom is the expected number of free slots from which a peer is worth asking.
+	minRoom = 0.5
 	// tolerance is by how much an agent's utilization may exceed the mean before work is handed over.
 	tolerance = 0.03
 	// gain is the part of the excess over the mean that is handed over.
@@ -38,20 +42,33 @@
 // failedPause is how long a peer gets nothing after a request handed to it failed.
 const failedPause = time.Second
 
-// free returns the number of slots that the peer is believed to have free.
-func (p *Peer) free(now time.Time) int {
-	unusable := p.Failing || p.Draining || now.Sub(p.Reported) > reportLife
-	if unusable || now.Sub(p.Failed) < failedPause {
+// usable reports whether the peer may get requests at all.
+func (p *Peer) usable(now time.Time) bool {
+	away := p.Failing || p.Draining || now.Sub(p.Reported) > reportLife
+	return !away && now.Sub(p.Failed) >= failedPause
+}
+
+// room returns the expected number of free slots of a peer with that many slots. A report counts for
+// less with age: slots become free and busy again in the meantime, as the mean utilization has it.
+func (p *Peer) room(slots int, now time.Time) float64 {
+	if !p.usable(now) {
 		return 0
 	}
-	return p.Free - p.Sent
+	reported := float64(p.Free - p.Sent)
+	expected := (1 - p.Utilization) * float64(slots)
+	age := min(1, float64(now.Sub(p.Reported))/float64(memory))
+	room := (1-age)*reported + age*expected
+	if room < minRoom {
+		return 0
+	}
+	return room
 }
 
 // Own is the state of the deciding agent.
 type Own struct {
 	Utilization float64
-	// Free is the number of free slots.
-	Free int
+	// Free is the number of free slots, Slots the number of all.
+	Free, Slots int
 	// Away says that the agent's server takes no new work: it drains or fails.
 	Away bool
 }
@@ -72,13 +89,13 @@
 )
 
 // Decide returns the index of the peer that should get a request, and why; -1 and Stay for none.
-// random is a number from 0 to 1 and decides between peers in proportion to their free slots.
+// random is a number from 0 to 1 and decides between peers in proportion to their room.
 func Decide(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
 	switch {
 	case own.Away:
-		return withReason(pick(peers, now, random, freeWeight), Away)
+		return withReason(pick(peers, random, roomWeight(own, now)), Away)
 	case own.Free <= 0:
-		return withReason(pick(peers, now, random, freeWeight), Full)
+		return withReason(pick(peers, random, roomWeight(own, now)), Full)
 	default:
 		return balance(own, peers, now, random)
 	}
@@ -91,8 +108,10 @@
 	return i, why
 }
 
-// freeWeight weighs a peer by its free slots.
-func freeWeight(p *Peer, now time.Time) float64 { return float64(p.free(now)) }
+// roomWeight weighs a peer by its room.
+func roomWeight(own Own, now time.Time) func(*Peer) float64 {
+	return func(p *Peer) float64 { return p.room(own.Slots, now) }
+}
 
 // balance hands over a part of the requests that is in proportion to the excess over the mean utilization.
 func balance(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
@@ -105,20 +124,20 @@
 	if random >= part {
 		return -1, Stay
 	}
-	deficit := func(p *Peer, now time.Time) float64 {
-		if p.free(now) <= 0 {
+	deficit := func(p *Peer) float64 {
+		if p.room(own.Slots, now) == 0 {
 			return 0
 		}
 		return mean - p.Utilization
 	}
-	return withReason(pick(peers, now, random/part, deficit), Balance)
+	return withReason(pick(peers, random/part, deficit), Balance)
 }
 
 func meanUtilization(own Own, peers []Peer, now time.Time) float64 {
 	sum, n := own.Utilization, 1.0
 	for i := range peers {
 		p := &peers[i]
-		if p.Failing || p.Draining || now.Sub(p.Reported) > reportLife {
+		if !p.usable(now) {
 			continue
 		}
 		sum += p.Utilization
@@ -128,10 +147,10 @@
 }
 
 // pick returns a peer with a probability in proportion to its weight, or -1 when no weight is positive.
-func pick(peers []Peer, now time.Time, random float64, weight func(*Peer, time.Time) float64) int {
+func pick(peers []Peer, random float64, weight func(*Peer) float64) int {
 	total := 0.0
 	for i := range peers {
-		total += max(0, weight(&peers[i], now))
+		total += max(0, weight(&peers[i]))
 	}
 	if total <= 0 {
 		return -1
@@ -139,7 +158,7 @@
 	target := random * total
 	last := -1
 	for i := range peers {
-		w := weight(&peers[i], now)
+		w := weight(&peers[i])
 		if w <= 0 {
 			continue
 		}
--- a/internal/offer/offer_test.go
+++ b/internal/offer/offer_test.go
@@ -33,14 +33,14 @@
 	}{
 		"no peers":                {Own{Free: 0}, nil, -1, Stay},
 		"room here":               {Own{Free: 1, Utilization: 0.2}, []Peer{free}, -1, Stay},
-		"full here":               {Own{Free: 0, Utilization: 1}, []Peer{full, free}, 1, Full},
-		"full everywhere":         {Own{Free: 0, Utilization: 1}, []Peer{full}, -1, Stay},
-		"stale report":            {Own{Free: 0, Utilization: 1}, []Peer{stale}, -1, Stay},
-		"failing peer":            {Own{Free: 0, Utilization: 1}, []Peer{failing}, -1, Stay},
-		"draining peer":           {Own{Free: 0, Utilization: 1}, []Peer{draining}, -1, Stay},
-		"peer that just failed":   {Own{Free: 0, Utilization: 1}, []Peer{broken}, -1, Stay},
-		"peer whose room's taken": {Own{Free: 0, Utilization: 1}, []Peer{taken}, -1, Stay},
-		"draining here":           {Own{Free: 4, Away: true}, []Peer{full, free}, 1, Away},
+		"full here":               {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{full, free}, 1, Full},
+		"full everywhere":         {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{full}, -1, Stay},
+		"stale report":            {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{stale}, -1, Stay},
+		"failing peer":            {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{failing}, -1, Stay},
+		"draining peer":           {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{draining}, -1, Stay},
+		"peer that just failed":   {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{broken}, -1, Stay},
+		"peer whose room's taken": {Own{Free: 0, Slots: 4, Utilization: 1}, []Peer{taken}, -1, Stay},
+		"draining here":           {Own{Free: 4, Slots: 4, Away: true}, []Peer{full, free}, 1, Away},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -54,7 +54,7 @@
 
 func TestBusierServerHandsOverItsExcess(t *testing.T) {
 	is := is.New(t)
-	own := Own{Utilization: 0.8, Free: 1}
+	own := Own{Utilization: 0.8, Free: 1, Slots: 4}
 	peers := []Peer{peerAt(1, 0.4, 2), peerAt(2, 0.6, 2), peerAt(3, 0.9, 1)}
 	counts := map[int]int{}
 	const n = 10_000
@@ -82,13 +82,14 @@
 		own := Own{
 			Utilization: rapid.Float64Range(0, 1).Draw(t, "own"),
 			Free:        rapid.IntRange(0, 4).Draw(t, "own free"),
+			Slots:       4,
 			Away:        rapid.Bool().Draw(t, "away"),
 		}
 		i, why := Decide(own, peers, now, rapid.Float64Range(0, 0.999).Draw(t, "random"))
 		if (i < 0) != (why == Stay) {
 			t.Fatalf("peer %d because of %v", i, why)
 		}
-		if i >= 0 && peers[i].free(now) <= 0 {
+		if i >= 0 && peers[i].room(own.Slots, now) <= 0 {
 			t.Fatalf("peer %d has no room: %+v", i, peers[i])
 		}
 	})
