--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -8,6 +8,7 @@
 package admit
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -92,6 +93,8 @@
 
 	busy      float64
 	busySince time.Time
+	demand    float64
+	asked     time.Time
 	errors    float64
 }
 
@@ -140,6 +143,20 @@
 	return Wait
 }
 
+// Ask notes that a caller asks for a job of a class, wherever it is run then.
+func (s *Scheduler) Ask(class string, now time.Time) {
+	s.decayDemand(now)
+	s.demand += float64(s.Expected(class)) / float64(utilizationTime)
+}
+
+// decayDemand brings the mean demand, in slots, up to now.
+func (s *Scheduler) decayDemand(now time.Time) {
+	if elapsed := now.Sub(s.asked); elapsed > 0 {
+		s.demand *= math.Exp(-float64(elapsed) / float64(utilizationTime))
+		s.asked = now
+	}
+}
+
 // TryStart starts a job only if that is possible at once, and reports whether it did.
 func (s *Scheduler) TryStart(job Job, now time.Time) bool {
 	if len(s.queue) > 0 || !s.mayStart(job, now) {
@@ -308,7 +325,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	weight := float64(elapsed) / float64(elapsed+utilizationTime)
+	weight := 1 - math.Exp(-float64(elapsed)/float64(utilizationTime))
 	s.busy += weight * (float64(len(s.running)) - s.busy)
 	s.busySince = now
 }
@@ -317,18 +334,23 @@
 type Load struct {
 	// Utilization is the recent share of busy slots, from 0 to 1.
 	Utilization float64
-	Free        int
-	Slots       int
-	Running     int
-	Queued      int
-	Failing     bool
+	// Demand is the recent work that callers asked for, as a share of the slots; it may exceed 1.
+	Demand  float64
+	Free    int
+	Slots   int
+	Running int
+	Queued  int
+	Failing bool
 }
 
 // Load returns the server's load at now.
 func (s *Scheduler) Load(now time.Time) Load {
 	s.settle(now)
+	s.decayDemand(now)
+	slots := float64(max(1, s.Slots(now)))
 	return Load{
-		Utilization: min(1, s.busy/float64(max(1, s.Slots(now)))),
+		Utilization: min(1, s.busy/slots),
+		Demand:      s.demand / slots,
 		Free:        s.Free(now),
 		Slots:       s.Slots(now),
 		Running:     len(s.running),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -281,6 +281,9 @@
 // flowCount returns the number of flows that the agent holds or has taken.
 func (a *Agent) flowCount() int { return int(a.flows.Load() + a.opening.Load()) }
 
+// Flows returns the number of flows that the agent holds.
+func (a *Agent) Flows() int { return int(a.flows.Load()) }
+
 // limitFlows refuses a flow above the contract's limit.
 func (a *Agent) limitFlows(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
 	if limit := a.know.get().record.Contract.Connections; a.flows.Load() >= int64(limit) {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -131,6 +131,9 @@
 		a.runStream(ctx, c)
 		return
 	}
+	if c.mode == modeCaller || c.mode == modeTicket {
+		a.work.ask(c.class())
+	}
 	if peer, why := a.decidePeer(c); why != offer.Stay {
 		if a.tryPeer(ctx, c, peer, why) {
 			return
@@ -165,7 +168,7 @@
 		return netip.AddrPort{}, offer.Stay
 	}
 	load := a.work.load()
-	own := offer.Own{Utilization: load.Utilization, Free: load.Free, Slots: load.Slots, Away: a.away() || load.Failing}
+	own := offer.Own{Utilization: load.Utilization, Demand: load.Demand, Free: load.Free, Slots: load.Slots, Away: a.away() || load.Failing}
 	if own.Away && !a.away() && rand.Float64() < probePart {
 		own.Away = false // A failing server gets a few requests, to show that it has recovered.
 	}
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -70,6 +70,13 @@
 	return verdict, ch
 }
 
+// ask notes that a caller asks for a request of a class.
+func (w *work) ask(class string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sched.Ask(class, w.now())
+}
+
 // tryStart starts a job only if that is possible at once.
 func (w *work) tryStart(job admit.Job) bool {
 	w.mu.Lock()
--- a/internal/load/meter.go
+++ b/internal/load/meter.go
@@ -11,7 +11,7 @@
 	at       time.Duration
 	busy     []time.Duration
 	requests []int
-	streams  []int
+	flows    []int
 }
 
 // meter reads the backend servers' use during a measurement.
@@ -44,9 +44,9 @@
 func (m *meter) read(at time.Duration) {
 	now := reading{at: at}
 	for _, t := range m.r.service.Targets {
-		busy, streams := t.Server.Busy()
+		busy, _ := t.Server.Busy()
 		now.busy = append(now.busy, busy)
-		now.streams = append(now.streams, streams)
+		now.flows = append(now.flows, t.Agent.Flows())
 		now.requests = append(now.requests, t.Server.Requests())
 	}
 	m.mu.Lock()
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -38,8 +38,8 @@
 	RefusedP99 float64 `json:"refused_p99_ms"`
 	// Imbalance is the largest to the mean busy part of the servers' slots.
 	Imbalance float64 `json:"imbalance"`
-	// StreamImbalance is the largest to the mean number of long answers.
-	StreamImbalance float64 `json:"stream_imbalance"`
+	// FlowImbalance is the largest to the mean number of flows.
+	FlowImbalance float64 `json:"flow_imbalance"`
 	// CrestGoodput is the work answered in time during the crest in proportion to the capacity.
 	CrestGoodput float64 `json:"crest_goodput"`
 	// Recovery is how long after the crest short requests still took more than twice their time before it.
@@ -58,7 +58,7 @@
 	// Busy is the part of its slots that were busy.
 	Busy     float64 `json:"busy"`
 	Requests int     `json:"requests"`
-	Streams  int     `json:"streams"`
+	Flows    int     `json:"flows"`
 	// Agent holds the counters of its agent.
 	Agent json.RawMessage `json:"agent"`
 }
@@ -71,7 +71,7 @@
 			Slowness: r.slowness(i),
 			Busy:     float64(last.busy[i]-first.busy[i]) / span,
 			Requests: last.requests[i] - first.requests[i],
-			Streams:  last.streams[i],
+			Flows:    last.flows[i],
 			Agent:    json.RawMessage(r.service.Targets[i].Vars.Get("requests").String()),
 		})
 	}
@@ -115,7 +115,7 @@
 	first, last := between(usage, r.scenario.Warmup.Std(), r.scenario.length())
 	res.Servers = r.servers(first, last)
 	res.Imbalance = r.imbalance(first, last)
-	res.StreamImbalance = streamImbalance(last)
+	res.FlowImbalance = flowImbalance(last)
 	res.Attempts = r.attempts(first, last, res.Requests)
 	res.CrestGoodput, res.Recovery = r.crest()
 	res.Drawn = r.drawn(usage)
@@ -174,9 +174,9 @@
 	return largestToMean(used)
 }
 
-func streamImbalance(last reading) float64 {
+func flowImbalance(last reading) float64 {
 	var held []float64
-	for _, n := range last.streams {
+	for _, n := range last.flows {
 		held = append(held, float64(n))
 	}
 	return largestToMean(held)
@@ -281,7 +281,7 @@
 		{"refused", res.Refused}, {"refused after 100 ms", res.RefusedLate}, {"refused without Retry-After", res.NoRetryAfter},
 		{"lost", res.Lost}, {"wrong", res.Wrong}, {"broken streams", res.Broken},
 		{"short p50 ms", res.ShortP50}, {"short p99 ms", res.ShortP99}, {"lower bound p99 ms", res.BoundP99},
-		{"refused p99 ms", res.RefusedP99}, {"imbalance", ratio(res.Imbalance)}, {"stream imbalance", ratio(res.StreamImbalance)},
+		{"refused p99 ms", res.RefusedP99}, {"imbalance", ratio(res.Imbalance)}, {"flow imbalance", ratio(res.FlowImbalance)},
 		{"crest goodput", ratio(res.CrestGoodput)}, {"recovery ms", res.Recovery}, {"attempts", ratio(res.Attempts)},
 		{"drawn by the event's server", ratio(res.Drawn)},
 	}
@@ -298,11 +298,11 @@
 // WriteTable writes one line for each result.
 func WriteTable(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "scenario\tpolicy\trequests\tanswered\tlate\terrors\trefused\t>100ms\tlost\twrong\tbroken\tp50\tp99\tbound p99\timbal\tstreams\tcrest\trecovery\tattempts\tdrawn\t")
+	_, _ = fmt.Fprintln(t, "scenario\tpolicy\trequests\tanswered\tlate\terrors\trefused\t>100ms\tlost\twrong\tbroken\tp50\tp99\tbound p99\timbal\tflows\tcrest\trecovery\tattempts\tdrawn\t")
 	for _, r := range results {
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.3f\t%.3f\t%.3f\t%.0f\t%.3f\t%.3f\t\n",
 			r.Scenario, r.Policy, r.Requests, r.Answered, r.Late, r.Errors, r.Refused, r.RefusedLate, r.Lost, r.Wrong, r.Broken,
-			r.ShortP50, r.ShortP99, r.BoundP99, r.Imbalance, r.StreamImbalance, r.CrestGoodput, r.Recovery, r.Attempts, r.Drawn)
+			r.ShortP50, r.ShortP99, r.BoundP99, r.Imbalance, r.FlowImbalance, r.CrestGoodput, r.Recovery, r.Attempts, r.Drawn)
 	}
 	return t.Flush()
 }
--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -17,10 +17,8 @@
 	memory = 150 * time.Millisecond
 	// minRoom is the expected number of free slots from which a peer is worth asking.
 	minRoom = 0.5
-	// tolerance is by how much an agent's utilization may exceed the mean before work is handed over.
-	tolerance = 0.03
-	// gain is the part of the excess over the mean that is handed over.
-	gain = 0.8
+	// gain weighs the excess of the utilization over the mean against that of the demand.
+	gain = 0.5
 )
 
 // Peer is another agent of the service, as it last reported.
@@ -67,6 +65,8 @@
 // Own is the state of the deciding agent.
 type Own struct {
 	Utilization float64
+	// Demand is the work that callers ask of this agent, as a share of its slots; it may exceed 1.
+	Demand float64
 	// Free is the number of free slots, Slots the number of all.
 	Free, Slots int
 	// Away says that the agent's server takes no new work: it drains or fails.
@@ -113,14 +113,10 @@
 	return func(p *Peer) float64 { return p.room(own.Slots, now) }
 }
 
-// balance hands over a part of the requests that is in proportion to the excess over the mean utilization.
+// balance hands over the part of the demand that exceeds the mean utilization.
 func balance(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
 	mean := meanUtilization(own, peers, now)
-	excess := own.Utilization - mean
-	if excess <= tolerance {
-		return -1, Stay
-	}
-	part := gain * excess / own.Utilization
+	part := excess(own, mean)
 	if random >= part {
 		return -1, Stay
 	}
@@ -133,6 +129,16 @@
 	return withReason(pick(peers, random/part, deficit), Balance)
 }
 
+// excess returns the part of the requests to hand over: what the demand exceeds the mean by, corrected
+// by how far the utilization is from the mean.
+func excess(own Own, mean float64) float64 {
+	if own.Demand <= 0 || own.Utilization <= 0 {
+		return 0
+	}
+	part := 1 - mean/own.Demand + gain*(own.Utilization-mean)/own.Utilization
+	return max(0, min(1, part))
+}
+
 func meanUtilization(own Own, peers []Peer, now time.Time) float64 {
 	sum, n := own.Utilization, 1.0
 	for i := range peers {
--- a/internal/offer/offer_test.go
+++ b/internal/offer/offer_test.go
@@ -54,7 +54,7 @@
 
 func TestBusierServerHandsOverItsExcess(t *testing.T) {
 	is := is.New(t)
-	own := Own{Utilization: 0.8, Free: 1, Slots: 4}
+	own := Own{Utilization: 0.8, Demand: 0.9, Free: 1, Slots: 4}
 	peers := []Peer{peerAt(1, 0.4, 2), peerAt(2, 0.6, 2), peerAt(3, 0.9, 1)}
 	counts := map[int]int{}
 	const n = 10_000
@@ -81,6 +81,7 @@
 		}
 		own := Own{
 			Utilization: rapid.Float64Range(0, 1).Draw(t, "own"),
+			Demand:      rapid.Float64Range(0, 3).Draw(t, "demand"),
 			Free:        rapid.IntRange(0, 4).Draw(t, "own free"),
 			Slots:       4,
 			Away:        rapid.Bool().Draw(t, "away"),
@@ -99,6 +100,6 @@
 	peers := []Peer{peerAt(1, 0.4, 2), peerAt(2, 0.6, 2), peerAt(3, 0.9, 1), peerAt(4, 0.4, 2), peerAt(5, 0.6, 2), peerAt(6, 0.9, 1), peerAt(7, 0.9, 1)}
 	b.ReportAllocs()
 	for b.Loop() {
-		Decide(Own{Utilization: 0.8, Free: 1}, peers, now, 0.1)
+		Decide(Own{Utilization: 0.8, Demand: 0.9, Free: 1, Slots: 4}, peers, now, 0.1)
 	}
 }
