--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -93,9 +93,9 @@
 func Decide(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
 	switch {
 	case own.Away:
-		return withReason(pick(peers, random, roomWeight(own, now)), Away)
+		return withReason(pick(peers, random, roomWeight(own, peers, now)), Away)
 	case own.Free <= 0:
-		return withReason(pick(peers, random, roomWeight(own, now)), Full)
+		return withReason(pick(peers, random, roomWeight(own, peers, now)), Full)
 	default:
 		return balance(own, peers, now, random)
 	}
@@ -108,9 +108,19 @@
 	return i, why
 }
 
-// roomWeight weighs a peer by its room.
-func roomWeight(own Own, now time.Time) func(*Peer) float64 {
-	return func(p *Peer) float64 { return p.room(own.Slots, now) }
+// busyPenalty is the part of its room that counts of a peer that is busier than the mean.
+const busyPenalty = 0.1
+
+// roomWeight weighs a peer by its room; one that is busier than the mean counts little.
+func roomWeight(own Own, peers []Peer, now time.Time) func(*Peer) float64 {
+	mean := meanUtilization(own, peers, now)
+	return func(p *Peer) float64 {
+		room := p.room(own.Slots, now)
+		if p.Utilization > mean {
+			room *= busyPenalty
+		}
+		return room
+	}
 }
 
 // balance hands over the part of the demand that exceeds the mean utilization.
