A draining server's requests may wait at a peer without a free slot

Found by TestPeerKilledDuringHandOver (seen to fail: 503 not-run): the peer had just told that its one cold slot was busy, and the draining agent took that for no room, though it asks peers to queue. Ruled out: the peer's refusal (it never saw the request). go test ./tests: passes, 68.8 s; go test -race of agent, ctrl, roster, entry, journ and dev -check under -race: no race.

--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -93,7 +93,7 @@
 func Decide(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
 	switch {
 	case own.Away:
-		return withReason(pick(peers, random, roomWeight(own, peers, now)), Away)
+		return withReason(pick(peers, random, awayWeight(own, peers, now)), Away)
 	case own.Free <= 0:
 		return withReason(pick(peers, random, roomWeight(own, peers, now)), Full)
 	default:
@@ -123,6 +123,20 @@
 	}
 }
 
+// queueRoom is the room that a peer without a free slot counts for when a request may wait there.
+const queueRoom = 0.05
+
+// awayWeight weighs a peer for a request that can't run here: it may also wait there.
+func awayWeight(own Own, peers []Peer, now time.Time) func(*Peer) float64 {
+	room := roomWeight(own, peers, now)
+	return func(p *Peer) float64 {
+		if !p.usable(now) {
+			return 0
+		}
+		return max(queueRoom, room(p))
+	}
+}
+
 // balance hands over the part of the demand that exceeds the mean utilization.
 func balance(own Own, peers []Peer, now time.Time, random float64) (int, Why) {
 	mean := meanUtilization(own, peers, now)
