Compare views only when news have settled; count TCP bytes; two home entries

They are now compared when both have been unchanged for 3 s, or every 30 s. Agents send heartbeats to two entries in place of three: 10 in place of 15 a second at an entry of the target. Starting processes ask the store only when no known entry answers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -165,10 +165,10 @@
 	if err != nil {
 		return err
 	}
-	a.client = ctrl.NewClient(dial)
-	a.peers.http = newPeerTransport(dial)
 	control := new(expvar.Map)
 	a.opts.Vars.Set("control", control)
+	a.client = ctrl.NewClient(dial, control)
+	a.peers.http = newPeerTransport(dial)
 	a.ln, a.link, err = ctrl.Listen(ctx, a.opts.Control, conf, ctrl.NewCodec(a.opts.Secret), control)
 	if err != nil {
 		return err
--- a/internal/agent/know.go
+++ b/internal/agent/know.go
@@ -95,7 +95,7 @@
 }
 
 // homeCount is the number of entries that an agent sends heartbeats to.
-const homeCount = 3
+const homeCount = 2
 
 // homes returns the control addresses of the entries that the agent at self sends heartbeats to. The
 // choice is by rendezvous hashing, so that it changes little when entries come and go.
--- a/internal/agent/member.go
+++ b/internal/agent/member.go
@@ -44,14 +44,9 @@
 }
 
 func (a *Agent) joinOnce(ctx context.Context) error {
-	answered := 0
-	for _, addr := range a.contacts(ctx) {
-		if err := a.refresh(ctx, addr); err == nil {
-			answered++
-		}
-		if answered == joinEntries {
-			break
-		}
+	answered := a.refreshBy(ctx, a.contacts(), joinEntries)
+	if answered == 0 {
+		answered = a.refreshBy(ctx, a.directory(ctx), joinEntries)
 	}
 	k := a.know.get()
 	switch {
@@ -66,18 +61,35 @@
 	return nil
 }
 
-// contacts returns the control addresses of entries to ask, the known ones first.
-func (a *Agent) contacts(ctx context.Context) []netip.AddrPort {
+// refreshBy fetches the service's state from up to n of the entries, and returns how many answered.
+func (a *Agent) refreshBy(ctx context.Context, entries []netip.AddrPort, n int) (answered int) {
+	for _, addr := range entries {
+		if a.refresh(ctx, addr) == nil {
+			answered++
+		}
+		if answered == n {
+			break
+		}
+	}
+	return answered
+}
+
+// contacts returns the control addresses of the entries known, and of those in the settings.
+func (a *Agent) contacts() []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, r := range a.know.get().entries {
 		out = append(out, r.Control)
 	}
-	out = append(out, a.opts.Seeds...)
+	return dedupe(append(out, a.opts.Seeds...))
+}
+
+// directory returns the entries that the store tells.
+func (a *Agent) directory(ctx context.Context) []netip.AddrPort {
 	found, err := a.opts.Directory.Entries(ctx)
 	if err != nil {
-		a.log.Warn("the store didn't tell entries; using those of the settings", zap.Error(err))
+		a.log.Warn("the store didn't tell entries", zap.Error(err))
 	}
-	return dedupe(append(out, found...))
+	return found
 }
 
 func dedupe(list []netip.AddrPort) []netip.AddrPort {
@@ -209,10 +221,8 @@
 // findEntries looks for entries when those known don't answer.
 func (a *Agent) findEntries(ctx context.Context) {
 	a.log.Warn("no entry answers the heartbeats; looking for others")
-	for _, addr := range a.contacts(ctx) {
-		if a.refresh(ctx, addr) == nil {
-			return
-		}
+	if a.refreshBy(ctx, a.contacts(), 1) == 0 {
+		a.refreshBy(ctx, a.directory(ctx), 1)
 	}
 }
 
--- a/internal/ctrl/codec.go
+++ b/internal/ctrl/codec.go
@@ -65,6 +65,8 @@
 	Record   view.Record `cbor:"1,keyasint"`
 	Position uint64      `cbor:"2,keyasint"`
 	Root     uint64      `cbor:"3,keyasint"`
+	// Quiet says that the sender's records have not changed for a while.
+	Quiet bool `cbor:"6,keyasint,omitempty"`
 	// Answer says that the message answers another Sync, and wants none.
 	Answer bool `cbor:"4,keyasint,omitempty"`
 	// Peer is what the sender knows of the receiver.
--- a/internal/ctrl/ctrl_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -85,14 +85,14 @@
 	server, err := NewServer(ln, "Echo", Echo{})
 	is.NoErr(err)
 	go func() { _ = server.Serve() }()
-	client := NewClient(conf)
+	client := NewClient(conf, new(expvar.Map))
 	defer client.Close()
 	var reply string
 	is.NoErr(client.Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply))
 	is.Equal(reply, "hello")
 	foreign, err := fleet.Secret{2}.TLS()
 	is.NoErr(err)
-	is.True(NewClient(foreign).Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply) != nil)
+	is.True(NewClient(foreign, new(expvar.Map)).Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply) != nil)
 }
 
 func TestSilentConnectionDelaysOneCallOnly(t *testing.T) {
@@ -115,7 +115,7 @@
 			_ = server.Serve()
 		}
 	}()
-	client := NewClient(conf)
+	client := NewClient(conf, new(expvar.Map))
 	defer client.Close()
 	client.timeout = 200 * time.Millisecond
 	var reply string
@@ -128,7 +128,7 @@
 	is := is.New(t)
 	conf, err := fleet.Secret{1}.TLS()
 	is.NoErr(err)
-	client := NewClient(conf)
+	client := NewClient(conf, new(expvar.Map))
 	defer client.Close()
 	var reply string
 	for range maxConns + 5 {
@@ -142,3 +142,26 @@
 		is.True(len(client.conns) <= maxConns)
 	}
 }
+
+// BenchmarkSlopeSizes measures the sizes of control datagrams.
+func BenchmarkSlopeSizes(b *testing.B) {
+	c := NewCodec(fleet.Secret{1})
+	rec := testBeat.Record
+	size := func(kind Kind, msg any) float64 {
+		out, err := Encode(c, kind, msg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(out))
+	}
+	for b.Loop() {
+		if _, err := Encode(c, KindBeat, testBeat); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(size(KindBeat, testBeat), "beat-B")
+	b.ReportMetric(size(KindAck, Ack{Record: rec, Serial: 1 << 20, KeySerial: 1 << 20, Members: 1 << 63, Entry: rec}), "ack-B")
+	b.ReportMetric(size(KindSync, Sync{Record: rec, Position: 1 << 20, Root: 1 << 63, Peer: rec}), "sync-B")
+	b.ReportMetric(size(KindLoad, Load{Record: rec, Utilization: 700, Free: 2, Queued: 1, Flows: 2000}), "load-B")
+	b.ReportMetric(size(KindRumor, Rumor{Records: []view.Record{rec}}), "rumor-B")
+}
--- a/internal/ctrl/link.go
+++ b/internal/ctrl/link.go
@@ -68,7 +68,7 @@
 		return nil, nil, errors.Wrapf(err, "ctrl: listen on %s", bound)
 	}
 	link := &Link{codec: codec, conn: pc.(*net.UDPConn), addr: bound, handlers: make(map[Kind]Handler), counters: counters}
-	return tls.NewListener(ln, conf), link, nil
+	return tls.NewListener(countedListener{Listener: ln, counters: counters}, conf), link, nil
 }
 
 // Addr returns the control address that is bound.
--- a/internal/ctrl/rpc.go
+++ b/internal/ctrl/rpc.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"expvar"
 	"net"
 	"net/netip"
 	"net/rpc"
@@ -95,8 +96,9 @@
 
 // Client calls other processes. It keeps one connection a process and is safe for concurrent use.
 type Client struct {
-	tls     *tls.Config
-	timeout time.Duration
+	tls      *tls.Config
+	timeout  time.Duration
+	counters *expvar.Map
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*pooled
@@ -108,9 +110,9 @@
 	used time.Time
 }
 
-// NewClient returns a client that proves itself by conf.
-func NewClient(conf *tls.Config) *Client {
-	return &Client{tls: conf, timeout: callTimeout, conns: make(map[netip.AddrPort]*pooled)}
+// NewClient returns a client that proves itself by conf, and counts its bytes in counters.
+func NewClient(conf *tls.Config, counters *expvar.Map) *Client {
+	return &Client{tls: conf, timeout: callTimeout, counters: counters, conns: make(map[netip.AddrPort]*pooled)}
 }
 
 // Call calls method of the process at addr. A connection on which a call failed isn't used again, so
@@ -144,12 +146,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	dialer := tls.Dialer{Config: c.tls}
+	var dialer net.Dialer
 	raw, err := dialer.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "ctrl: dial %s", addr)
 	}
-	conn := rpc.NewClient(raw)
+	secure := tls.Client(countedConn{Conn: raw, counters: c.counters}, c.tls)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, errors.Wrapf(err, "ctrl: handshake with %s", addr)
+	}
+	conn := rpc.NewClient(secure)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[addr]; other != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -103,7 +103,9 @@
 	if err != nil {
 		return err
 	}
-	e.client = ctrl.NewClient(conf)
+	control := new(expvar.Map)
+	e.opts.Vars.Set("control", control)
+	e.client = ctrl.NewClient(conf, control)
 	packets := new(expvar.Map)
 	e.opts.Vars.Set("packets", packets)
 	e.path, err = NewPath(ctx, PathOptions{
@@ -113,8 +115,6 @@
 	if err != nil {
 		return err
 	}
-	control := new(expvar.Map)
-	e.opts.Vars.Set("control", control)
 	e.ln, e.link, err = ctrl.Listen(ctx, e.opts.Control, conf, ctrl.NewCodec(e.opts.Secret), control)
 	if err != nil {
 		return err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,6 +33,11 @@
 	probeFailures = 3
 	// rumorFanout is how many entries get each piece of news.
 	rumorFanout = 4
+	// quietTime is how long records must not have changed before a difference to another entry is looked
+	// into: until then the news are under way.
+	quietTime = 3 * time.Second
+	// compareInterval is the time after which a difference is looked into in any case.
+	compareInterval = 30 * time.Second
 	// recordsPerRumor is how many records fit into one datagram.
 	recordsPerRumor = 8
 	// maxHot bounds the news that wait for the next flush; what doesn't fit spreads by anti-entropy.
@@ -54,8 +59,10 @@
 	hot     []view.Record
 	rand    *rand.Rand
 	checked time.Time
+	// changed is when the view last changed, compared when it was last compared in full.
+	changed, compared time.Time
 
-	pulls chan netip.AddrPort
+	pulls chan pull
 	wake  chan struct{}
 }
 
@@ -106,7 +113,7 @@
 		heard:  make(map[netip.AddrPort]heard),
 		probes: make(map[netip.AddrPort]*probe),
 		rand:   opts.Rand,
-		pulls:  make(chan netip.AddrPort, 1),
+		pulls:  make(chan pull, 1),
 		wake:   make(chan struct{}, 1),
 	}
 	r.view.Merge(r.self, opts.Now())
@@ -175,6 +182,7 @@
 			continue
 		}
 		news++
+		r.changed = now
 		r.note(before, known, rec)
 		if len(r.hot) < maxHot {
 			r.hot = append(r.hot, rec)
@@ -286,15 +294,25 @@
 	r.merge(msg.Record, msg.Peer)
 	r.mu.Lock()
 	delete(r.probes, msg.Record.Packets)
-	root := r.view.Root()
+	differs := r.differs(msg)
 	r.mu.Unlock()
-	position := r.opts.Journal.Position()
 	if !msg.Answer {
 		_ = ctrl.Send(r.opts.Link, from, ctrl.KindSync, r.syncFor(msg.Record, true))
 	}
-	if msg.Position > position || msg.Root != root {
-		r.pull(from)
+	if differs || msg.Position > r.opts.Journal.Position() {
+		r.pull(pull{from: from, records: differs})
+	}
+}
+
+// differs reports whether the other entry's records differ from these, and it is time to look into it.
+// The caller holds the lock.
+func (r *Roster) differs(msg ctrl.Sync) bool {
+	if msg.Root == r.view.Root() {
+		return false
 	}
+	now := r.opts.Now()
+	settled := msg.Quiet && now.Sub(r.changed) >= quietTime
+	return settled || now.Sub(r.compared) >= compareInterval
 }
 
 func (r *Roster) syncFor(peer view.Record, answer bool) ctrl.Sync {
@@ -304,7 +322,8 @@
 	if known, ok := r.view.Get(peer.Packets); ok {
 		peer = known
 	}
-	return ctrl.Sync{Record: r.self, Position: position, Root: r.view.Root(), Answer: answer, Peer: peer}
+	quiet := r.opts.Now().Sub(r.changed) >= quietTime
+	return ctrl.Sync{Record: r.self, Position: position, Root: r.view.Root(), Quiet: quiet, Answer: answer, Peer: peer}
 }
 
 // onRumor takes news and passes on what was news here.
@@ -314,14 +333,20 @@
 		_ = r.opts.Journal.Apply(*msg.Entry) // A gap is closed by the pull below.
 	}
 	if msg.Position > r.opts.Journal.Position() {
-		r.pull(from)
+		r.pull(pull{from: from})
 	}
 }
 
-// pull asks for a full comparison with the entry at a control address; one may wait at a time.
-func (r *Roster) pull(from netip.AddrPort) {
+// pull is something to be fetched from another entry: the journal, and where records is set, what differs of the records.
+type pull struct {
+	from    netip.AddrPort
+	records bool
+}
+
+// pull asks for something to be fetched; one may wait at a time.
+func (r *Roster) pull(p pull) {
 	select {
-	case r.pulls <- from:
+	case r.pulls <- p:
 	default:
 	}
 }
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -38,16 +38,7 @@
 }
 
 func (r *Roster) joinOnce(ctx context.Context) error {
-	joined := false
-	for _, addr := range r.seeds(ctx) {
-		if addr == r.opts.Self.Control {
-			continue
-		}
-		if err := r.compare(ctx, addr); err == nil {
-			joined = true
-			break
-		}
-	}
+	joined := r.joinBy(ctx, r.opts.Seeds) || r.joinBy(ctx, r.directory(ctx))
 	err := r.opts.Journal.CatchUp(ctx)
 	if joined {
 		return nil
@@ -55,12 +46,23 @@
 	return err
 }
 
-func (r *Roster) seeds(ctx context.Context) []netip.AddrPort {
+// joinBy takes over what one of the entries knows, and reports whether one answered.
+func (r *Roster) joinBy(ctx context.Context, entries []netip.AddrPort) bool {
+	for _, addr := range entries {
+		if addr != r.opts.Self.Control && r.compare(ctx, addr) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// directory returns the entries that the store tells.
+func (r *Roster) directory(ctx context.Context) []netip.AddrPort {
 	found, err := r.opts.Directory.Entries(ctx)
 	if err != nil {
-		r.log.Warn("the store didn't tell other entries; using those of the settings", zap.Error(err))
+		r.log.Warn("the store didn't tell other entries", zap.Error(err))
 	}
-	return append(append([]netip.AddrPort(nil), r.opts.Seeds...), found...)
+	return found
 }
 
 // RunSync compares this entry with a random one every second, until ctx ends.
@@ -163,20 +165,27 @@
 	}
 }
 
-// RunPulls compares this entry in full with those that showed to know more, until ctx ends.
+// RunPulls fetches from other entries what they showed to know more, until ctx ends.
 func (r *Roster) RunPulls(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case addr := <-r.pulls:
-			if err := r.compare(ctx, addr); err != nil {
-				r.opts.Counters.Add("compare_failed", 1)
+		case p := <-r.pulls:
+			if err := r.fetch(ctx, p); err != nil {
+				r.opts.Counters.Add("fetch_failed", 1)
 			}
 		}
 	}
 }
 
+func (r *Roster) fetch(ctx context.Context, p pull) error {
+	if p.records {
+		return r.compare(ctx, p.from)
+	}
+	return r.fetchJournal(ctx, p.from)
+}
+
 // compare takes over what the entry at addr knows more, and gives it what it lacks.
 func (r *Roster) compare(ctx context.Context, addr netip.AddrPort) error {
 	if err := r.fetchJournal(ctx, addr); err != nil {
@@ -184,7 +193,9 @@
 	}
 	r.mu.Lock()
 	digest := r.view.Digest()
+	r.compared = r.opts.Now()
 	r.mu.Unlock()
+	r.opts.Counters.Add("compared", 1)
 	var reply ctrl.ExchangeReply
 	if err := r.opts.Client.Call(ctx, addr, "Entry.Exchange", ctrl.ExchangeArgs{Digest: digest}, &reply); err != nil {
 		return err
--- a/internal/roster/spread_test.go
+++ b/internal/roster/spread_test.go
@@ -92,7 +92,7 @@
 		}
 		nd.journal = journ.New(store, func() { nd.roster.Advanced() })
 		nd.roster = New(Options{
-			Self: nd.self, Link: link, Client: ctrl.NewClient(conf), Journal: nd.journal, Directory: store, Seeds: seeds,
+			Self: nd.self, Link: link, Client: ctrl.NewClient(conf, nd.counters), Journal: nd.journal, Directory: store, Seeds: seeds,
 			Changed: func(uint32) {}, Log: zap.NewNop(), Counters: nd.counters, Now: time.Now,
 			Rand: rand.New(rand.NewPCG(uint64(i), 1)),
 		})
@@ -120,7 +120,7 @@
 
 func (n *node) bytes() int64 {
 	var sum int64
-	for _, name := range []string{"bytes_in", "bytes_out"} {
+	for _, name := range []string{"bytes_in", "bytes_out", "tcp_bytes_in", "tcp_bytes_out"} {
 		if v, ok := n.counters.Get(name).(*expvar.Int); ok {
 			sum += v.Value()
 		}
