Keep a slot from heavy work only where light work is common; remove the steady error of balance

A class is now heavy only next to lighter classes that make a quarter of the recent requests (TestRareLightWorkKeepsNoSlot, seen to fail).

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -14,14 +14,18 @@
 )
 
 const (
-	// heavyFactor is how many times longer than the shortest class a class must be to count as heavy.
+	// heavyFactor is how many times longer than other classes a class must be to count as heavy, and
+	// lightPart the part of recent requests that those classes must have to be worth a slot.
 	heavyFactor = 4
+	lightPart   = 0.25
+	// recentTime is the time constant of the count of recent requests.
+	recentTime = 10 * time.Second
 	// orderFactor weighs a job's expected duration against its waiting time in the queue's order.
 	orderFactor = 4
 	// minSamples is how many endings a class needs before its mean is trusted.
 	minSamples = 3
 	// meanGain is the weight of a new duration in a mean.
-	meanGain = 0.1
+	meanGain = 0.2
 	// utilizationTime is the time constant of the mean number of busy slots.
 	utilizationTime = time.Second
 	// maxClasses bounds the classes that are told apart; further ones share the overall mean.
@@ -72,6 +76,9 @@
 type class struct {
 	mean    time.Duration
 	samples int
+	// recent counts the requests of the recent past, as of at.
+	recent float64
+	at     time.Time
 }
 
 // running is a job that runs.
@@ -180,7 +187,7 @@
 	}
 	s.noteError(failed)
 	if !failed {
-		s.learn(r.job.Class, now.Sub(r.started))
+		s.learn(r.job.Class, now.Sub(r.started), now)
 	}
 }
 
@@ -241,31 +248,39 @@
 	if len(s.running) >= slots {
 		return false
 	}
-	return !s.isHeavy(job.Class) || slots == 1 || s.heavy < slots-1
+	return slots == 1 || s.heavy < slots-1 || !s.isHeavy(job.Class, now)
 }
 
 func (s *Scheduler) start(job Job, now time.Time) {
 	s.settle(now)
-	heavy := s.isHeavy(job.Class)
+	heavy := s.isHeavy(job.Class, now)
 	if heavy {
 		s.heavy++
 	}
 	s.running[job.ID] = running{job: job, started: now, heavy: heavy}
 }
 
-// isHeavy reports whether jobs of a class take several times longer than those of the shortest class.
-func (s *Scheduler) isHeavy(name string) bool {
+// isHeavy reports whether jobs of a class take several times longer than those of classes which together
+// make a good part of the recent requests. Work that is rare isn't worth a slot kept for it.
+func (s *Scheduler) isHeavy(name string, now time.Time) bool {
 	c := s.classes[name]
 	if c == nil || c.samples < minSamples {
 		return false
 	}
-	shortest := c.mean
+	light, all := 0.0, 0.0
 	for _, other := range s.classes {
-		if other.samples >= minSamples {
-			shortest = min(shortest, other.mean)
+		n := other.recentAt(now)
+		all += n
+		if other.samples >= minSamples && c.mean > heavyFactor*other.mean {
+			light += n
 		}
 	}
-	return c.mean > heavyFactor*shortest
+	return light >= lightPart*all
+}
+
+// recentAt returns the count of recent requests at now.
+func (c *class) recentAt(now time.Time) float64 {
+	return c.recent * math.Exp(-float64(now.Sub(c.at))/float64(recentTime))
 }
 
 // Expected returns the expected duration of a job of a class; 0 when nothing is known yet.
@@ -289,8 +304,8 @@
 	return work / time.Duration(slots)
 }
 
-func (s *Scheduler) learn(name string, d time.Duration) {
-	s.overall.add(d)
+func (s *Scheduler) learn(name string, d time.Duration, now time.Time) {
+	s.overall.add(d, now)
 	c := s.classes[name]
 	if c == nil {
 		if len(s.classes) >= maxClasses {
@@ -299,10 +314,12 @@
 		c = &class{}
 		s.classes[name] = c
 	}
-	c.add(d)
+	c.add(d, now)
 }
 
-func (c *class) add(d time.Duration) {
+func (c *class) add(d time.Duration, now time.Time) {
+	c.recent = c.recentAt(now) + 1
+	c.at = now
 	c.samples++
 	gain := max(meanGain, 1/float64(c.samples))
 	c.mean += time.Duration(gain * float64(d-c.mean))
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -99,6 +99,16 @@
 	is.Equal(answers[0].Verdict, Start)
 }
 
+func TestRareLightWorkKeepsNoSlot(t *testing.T) {
+	is := is.New(t)
+	s := warm(Limits{Slots: 4, Queue: 10})
+	now := teach(s, "ping", 5, time.Millisecond, start)
+	now = teach(s, "work", 100, 40*time.Millisecond, now)
+	for id := range uint64(4) {
+		is.Equal(s.Arrive(Job{ID: id, Class: "work", Arrived: now, Deadline: now.Add(time.Hour)}, now), Start)
+	}
+}
+
 func TestHeavyWorkIsNotStarved(t *testing.T) {
 	is := is.New(t)
 	s := warm(Limits{Slots: 1, Queue: 100})
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -49,6 +49,7 @@
 	mu       sync.Mutex
 	rand     *rand.Rand
 	peers    []peer
+	bias     offer.Bias
 	ack      time.Time
 	lastTold time.Time
 	// lastFlows is the number of flows last told to all peers.
@@ -154,6 +155,7 @@
 	for i := range s.peers {
 		list[i] = s.peers[i].Peer
 	}
+	own.Bias = s.bias.Adjust(own, list, now)
 	i, why := s.choose(own, list, now, s.rand.Float64())
 	if i < 0 {
 		return netip.AddrPort{}, offer.Stay
--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -69,6 +69,8 @@
 	Demand float64
 	// Free is the number of free slots, Slots the number of all.
 	Free, Slots int
+	// Bias is added to the part of the requests that is handed over; see Bias.
+	Bias float64
 	// Away says that the agent's server takes no new work: it drains or fails.
 	Away bool
 }
@@ -108,6 +110,25 @@
 	return i, why
 }
 
+// biasGain is by how much the bias follows the utilization's distance from the mean, each second.
+const biasGain = 0.5
+
+// Bias removes the error that stays when the part to hand over follows from demand and utilization alone:
+// it grows as long as the agent is busier than the mean. Its owner serializes access.
+type Bias struct {
+	value float64
+	at    time.Time
+}
+
+// Adjust brings the bias up to now and returns it.
+func (b *Bias) Adjust(own Own, peers []Peer, now time.Time) float64 {
+	elapsed := min(1, now.Sub(b.at).Seconds())
+	b.at = now
+	b.value += biasGain * elapsed * (own.Utilization - meanUtilization(own, peers, now))
+	b.value = max(0, min(1, b.value))
+	return b.value
+}
+
 // busyPenalty is the part of its room that counts of a peer that is busier than the mean.
 const busyPenalty = 0.1
 
@@ -159,7 +180,7 @@
 	if own.Demand <= 0 || own.Utilization <= 0 {
 		return 0
 	}
-	part := 1 - mean/own.Demand + gain*(own.Utilization-mean)/own.Utilization
+	part := 1 - mean/own.Demand + gain*(own.Utilization-mean)/own.Utilization + own.Bias
 	return max(0, min(1, part))
 }
 
