A passed-on flow is never passed again; ask two peers before running here

Cause: a handshake whose datagrams reached two agents by different entries could be passed from one to the other and back until the choice was forgotten (10 s).

--- a/internal/agent/flow.go
+++ b/internal/agent/flow.go
@@ -65,12 +65,15 @@
 	}
 }
 
+// hashID returns the key under which a handshake is remembered.
+func hashID(id []byte) uint64 { return xxhash.Sum64(id) }
+
 // routeNew returns the agent that takes the flow opened with connection ID id. A flow is passed on once at the most.
 func (a *Agent) routeNew(id []byte, passed bool) (netip.AddrPort, bool) {
 	self := a.record()
 	now := time.Now()
-	key := xxhash.Sum64(id)
-	if chosen, ok := a.choices.get(key, now); ok {
+	key := hashID(id)
+	if chosen, ok := a.choices.get(key, now); ok && a.stands(chosen, self.Packets, passed) {
 		return chosen, true
 	}
 	chosen := self.Packets
@@ -88,6 +91,23 @@
 	return chosen, true
 }
 
+// stands reports whether a choice made before still holds: a flow is passed on once at the most, and not
+// to an agent that takes none any more.
+func (a *Agent) stands(chosen, self netip.AddrPort, passed bool) bool {
+	if chosen == self {
+		return true
+	}
+	if passed {
+		return false
+	}
+	for _, r := range a.know.get().members {
+		if r.Packets == chosen {
+			return r.State == view.Up
+		}
+	}
+	return false
+}
+
 // chooseAgent decides between this agent and the best of its peers for the flow.
 func (a *Agent) chooseAgent(id []byte, self view.Record, now time.Time) netip.AddrPort {
 	peer, ok := a.bestPeer(id, self)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// maxOffers is how many peers are asked to run a request before it is run or waits here.
+const maxOffers = 2
+
 // run brings a call to the backend server or to a peer.
 func (a *Agent) run(c *call) {
 	ctx, cancel := c.context()
@@ -134,7 +137,11 @@
 	if c.mode == modeCaller || c.mode == modeTicket {
 		a.work.ask(c.class())
 	}
-	if peer, why := a.decidePeer(c); why != offer.Stay {
+	for range maxOffers {
+		peer, why := a.decidePeer(c)
+		if why == offer.Stay {
+			break
+		}
 		if a.tryPeer(ctx, c, peer, why) {
 			return
 		}
