--- a/internal/admin/contract_test.go
+++ b/internal/admin/contract_test.go
@@ -8,60 +8,29 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/journ"
+	"github.com/bergamotrun/bergamotrun/internal/kvfake"
 	"github.com/bergamotrun/bergamotrun/internal/roster"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
 const token = "a token of sixteen"
 
-// fakeStore is a store in memory.
-type fakeStore struct {
-	mu     sync.Mutex
-	values map[string][]byte
-	down   bool
-}
-
-func (f *fakeStore) Get(_ context.Context, key string) ([]byte, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return nil, false, errors.New("down")
-	}
-	v, ok := f.values[key]
-	return v, ok, nil
-}
-
-func (f *fakeStore) Create(_ context.Context, key string, value []byte) (bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return false, errors.New("down")
-	}
-	if _, ok := f.values[key]; ok {
-		return false, nil
-	}
-	f.values[key] = value
-	return true, nil
-}
-
 // noRoster knows no processes.
 type noRoster struct{}
 
 func (noRoster) Status(context.Context, string) roster.Status { return roster.Status{} }
 func (noRoster) Members(uint32) []view.Record                 { return nil }
 
-func newTestServer(t *testing.T) (http.Handler, *fakeStore) {
+func newTestServer(t *testing.T) (http.Handler, *kvfake.Memory) {
 	t.Helper()
-	store := &fakeStore{values: map[string][]byte{}}
+	store := kvfake.NewMemory()
 	journal := journ.New(store, func() {})
 	s, err := New(t.Context(), Options{
 		Address: netip.MustParseAddrPort("127.0.0.1:0"), Token: token, Vars: new(expvar.Map),
@@ -171,9 +140,9 @@
 func TestStoreDownIsTold(t *testing.T) {
 	is := is.New(t)
 	h, store := newTestServer(t)
-	store.down = true
+	store.SetDown(true)
 	is.Equal(do(h, "POST", "/v1/contracts", "", good).code, http.StatusServiceUnavailable)
-	store.down = false
+	store.SetDown(false)
 	is.Equal(do(h, "POST", "/v1/contracts", "", good).code, http.StatusCreated)
 }
 
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/timer"
 )
 
 const (
@@ -21,16 +23,7 @@
 		return nil
 	}
 	client := &http.Client{Timeout: healthTimeout}
-	ticker := time.NewTicker(healthInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			a.checkHealth(ctx, client)
-		}
-	}
+	return timer.Every(ctx, healthInterval, func() { a.checkHealth(ctx, client) })
 }
 
 func (a *Agent) checkHealth(ctx context.Context, client *http.Client) {
--- a/internal/agent/member.go
+++ b/internal/agent/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -15,7 +16,9 @@
 
 const (
 	beatInterval = time.Second
-	joinPause    = 200 * time.Millisecond
+	// joinPause is the first pause between two tries to join; it doubles up to joinPauseLimit.
+	joinPause      = 200 * time.Millisecond
+	joinPauseLimit = 10 * time.Second
 	// refreshPause is the shortest time between two fetches of the service's state.
 	refreshPause = 100 * time.Millisecond
 	// joinEntries is how many entries a starting agent asks, so that a stale one doesn't decide alone.
@@ -26,7 +29,7 @@
 
 // join learns the service's state from entries and fixes the agent's own record.
 func (a *Agent) join(ctx context.Context) error {
-	for {
+	for pause := joinPause; ; pause = min(2*pause, joinPauseLimit) {
 		err := a.joinOnce(ctx)
 		if err == nil {
 			return nil
@@ -38,7 +41,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-time.After(joinPause):
+		case <-time.After(pause/2 + time.Duration(rand.Int64N(int64(pause)))):
 		}
 	}
 }
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -13,6 +13,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/offer"
+	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -235,22 +236,15 @@
 
 // runLoads reports the load to peers until ctx ends: at an interval, and earlier when flows come fast.
 func (a *Agent) runLoads(ctx context.Context) error {
-	ticker := time.NewTicker(flowNoticeGap)
-	defer ticker.Stop()
 	told := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return timer.Every(ctx, flowNoticeGap, func() {
 		if time.Since(told) < loadInterval && !a.peers.flowsChanged(a.flowCount()) {
-			continue
+			return
 		}
 		a.opening.Store(a.opening.Load() / 2) // Handshakes that were given up.
 		a.tellLoad()
 		told = time.Now()
-	}
+	})
 }
 
 // tellLoad reports the load to all peers.
--- a/internal/agent/work.go
+++ b/internal/agent/work.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bergamotrun/bergamotrun/internal/admit"
+	"github.com/bergamotrun/bergamotrun/internal/timer"
 )
 
 // advanceInterval is the time between two looks at the waiting requests for those that can't end in time.
@@ -127,6 +128,13 @@
 	}
 }
 
+// refresh tells the waiting jobs whose turn has come by the passing of time.
+func (w *work) refresh() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance()
+}
+
 func (w *work) load() admit.Load {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -169,17 +177,8 @@
 
 // runWork refuses waiting requests that can't end in time, and lets some look for a peer, until ctx ends.
 func (a *Agent) runWork(ctx context.Context) error {
-	ticker := time.NewTicker(advanceInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			a.work.mu.Lock()
-			a.work.advance()
-			a.work.mu.Unlock()
-			a.work.release(offersPerRound)
-		}
-	}
+	return timer.Every(ctx, advanceInterval, func() {
+		a.work.refresh()
+		a.work.release(offersPerRound)
+	})
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -180,6 +180,7 @@
 	duties := []func(context.Context) error{
 		e.applyChanges,
 		e.announce,
+		e.journal.RunSnapshots,
 		e.roster.RunSync,
 		e.roster.RunRumors,
 		e.roster.RunPulls,
--- a/internal/journ/journ_test.go
+++ b/internal/journ/journ_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -15,49 +16,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/kvfake"
 	"github.com/bergamotrun/bergamotrun/pkg/contr"
 )
 
-// fakeStore is a store in memory whose answers can be lost.
-type fakeStore struct {
-	mu     sync.Mutex
-	values map[string][]byte
-	// lose counts writes that take effect without an answer; down fails every call.
-	lose int
-	down bool
-}
-
-func newFakeStore() *fakeStore { return &fakeStore{values: make(map[string][]byte)} }
-
-var errDown = errors.New("the store is down")
-
-func (f *fakeStore) Get(_ context.Context, key string) ([]byte, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return nil, false, errDown
-	}
-	v, ok := f.values[key]
-	return v, ok, nil
-}
-
-func (f *fakeStore) Create(_ context.Context, key string, value []byte) (bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.down {
-		return false, errDown
-	}
-	_, exists := f.values[key]
-	if !exists {
-		f.values[key] = value
-	}
-	if f.lose > 0 {
-		f.lose--
-		return false, errors.New("the answer was lost")
-	}
-	return !exists, nil
-}
-
 func testContract(name string, port uint16) *contr.Contract {
 	c := contr.Contract{Name: name, Member: "m", Address: netip.AddrPortFrom(netip.MustParseAddr("192.0.2.1"), port)}.WithDefaults()
 	return &c
@@ -78,7 +40,7 @@
 func TestChangesReachEveryCopyInOrder(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	a, b := newJournal(store), newJournal(store)
 	e1, err := a.Commit(ctx, create("desk", 1))
 	is.NoErr(err)
@@ -110,9 +72,9 @@
 func TestLostAnswerIsRecognized(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	j := newJournal(store)
-	store.lose = 1
+	store.Lose(1)
 	e, err := j.Commit(ctx, create("desk", 1))
 	is.NoErr(err)
 	is.Equal(e.Position, uint64(1))
@@ -122,18 +84,18 @@
 	other, err := newJournal(store).Commit(ctx, create("desk", 1)) // By another entry.
 	is.NoErr(err)
 	is.Equal(other.Position, e.Position)
-	is.Equal(len(store.values), 1)
+	is.Equal(store.Len(), 1)
 }
 
 func TestUnansweredWriteIsUnknown(t *testing.T) {
 	is := is.New(t)
-	store := newFakeStore()
-	store.lose = 1 << 30
+	store := kvfake.NewMemory()
+	store.Lose(1 << 30)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	_, err := newJournal(store).Commit(ctx, create("desk", 1))
 	is.True(errors.Is(err, ErrOutcomeUnknown))
-	store.lose = 0
+	store.Lose(0)
 	e, err := newJournal(store).Commit(t.Context(), create("desk", 1))
 	is.NoErr(err)
 	is.Equal(e.Position, uint64(1)) // It was made, and isn't made twice.
@@ -142,20 +104,20 @@
 func TestStoreDownRefusesChangesAndKeepsState(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	j := newJournal(store)
 	_, err := j.Commit(ctx, create("desk", 1))
 	is.NoErr(err)
-	store.down = true
+	store.SetDown(true)
 	_, err = j.Commit(ctx, create("board", 2))
-	is.True(errors.Is(err, errDown))
+	is.True(errors.Is(err, kvfake.ErrDown))
 	j.View(func(s *State) { is.Equal(len(s.Records()), 1) })
 }
 
 func TestRacingOperatorsLoseNothing(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	_, err := newJournal(store).Commit(ctx, create("desk", 1))
 	is.NoErr(err)
 	const operators, changes = 6, 10
@@ -245,7 +207,7 @@
 func TestSnapshotNeverGoesBack(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	old := newJournal(store)
 	e, err := old.Commit(ctx, create("desk", 1))
 	is.NoErr(err)
@@ -258,9 +220,32 @@
 	is.Equal(old.Position(), uint64(2))
 }
 
+func TestSnapshotInTheStoreSavesReading(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := kvfake.NewMemory()
+	j := newJournal(store)
+	for i := range snapshotEvery + 10 {
+		_, err := j.Commit(ctx, create(fmt.Sprintf("s%d", i), uint16(i+1)))
+		is.NoErr(err)
+		if i+1 == snapshotEvery {
+			is.Equal(len(j.due), 1)
+			is.NoErr(j.writeSnapshot(ctx))
+		}
+	}
+	for i := range snapshotEvery { // What the snapshot holds isn't read any more.
+		store.Delete(Key(uint64(i + 1)))
+	}
+	fresh := newJournal(store)
+	is.NoErr(fresh.CatchUp(ctx))
+	is.True(reflect.DeepEqual(fresh.Snapshot(), j.Snapshot()))
+	store.Delete(pageKey(snapshotEvery, 0))
+	is.True(newJournal(store).CatchUp(ctx) != nil) // A page is missing.
+}
+
 func TestFirstKeyIsOne(t *testing.T) {
 	is := is.New(t)
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	secret := fleet.Secret{1}
 	var wg sync.WaitGroup
 	for range 8 {
@@ -273,13 +258,13 @@
 		}()
 	}
 	wg.Wait()
-	is.Equal(len(store.values), 1)
+	is.Equal(store.Len(), 1)
 }
 
 func TestKeysRotateInSteps(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
-	store := newFakeStore()
+	store := kvfake.NewMemory()
 	secret := fleet.Secret{1}
 	j := newJournal(store)
 	is.NoErr(j.FirstKey(ctx, secret, "test"))
@@ -339,3 +324,35 @@
 		_ = s.Apply(Entry{Position: s.Position() + 1, Change: Change{ID: "u", Op: Update, Name: "s1", Contract: c}})
 	}
 }
+
+// BenchmarkSlopeState measures the memory of a state with 13,000 contracts, and the size of an entry.
+func BenchmarkSlopeState(b *testing.B) {
+	const contracts = 13_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := NewState()
+	size := 0
+	for i := range contracts {
+		name := fmt.Sprintf("service-%d", i)
+		c := testContract(name, 1)
+		c.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 443)
+		e := Entry{Position: s.Position() + 1, Change: Change{ID: name, Op: Create, Who: "somebody", Why: "a reason", Name: name, Contract: c}}
+		text, err := json.Marshal(e)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = len(text)
+		if err := s.Apply(e); err != nil {
+			b.Fatal(err)
+		}
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		s.Position()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/contracts, "heap-B/contract")
+	b.ReportMetric(float64(size), "entry-B")
+	runtime.KeepAlive(s)
+}
--- a/internal/journ/journal.go
+++ b/internal/journ/journal.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,8 @@
 	// Create stores value under key unless the key exists, and reports whether it did.
 	// After an error it is unknown whether the value was stored.
 	Create(ctx context.Context, key string, value []byte) (created bool, err error)
+	// Put stores value under key, whatever stood there.
+	Put(ctx context.Context, key string, value []byte) error
 }
 
 // Journal is one process's copy of the journal. It is safe for concurrent use.
@@ -38,6 +41,10 @@
 	// news is called without locks after entries were applied.
 	news func()
 
+	// due asks for a snapshot; skipped counts those that couldn't be written.
+	due     chan struct{}
+	skipped atomic.Int64
+
 	// writing serializes this process's own changes.
 	writing sync.Mutex
 
@@ -48,7 +55,7 @@
 
 // New returns an empty copy of the journal in store; news is called after each advance.
 func New(store Store, news func()) *Journal {
-	return &Journal{store: store, news: news, state: NewState()}
+	return &Journal{store: store, news: news, state: NewState(), due: make(chan struct{}, 1)}
 }
 
 // Position returns the position of the last entry applied.
@@ -132,8 +139,14 @@
 	j.tail = append(j.tail, e)
 }
 
-// CatchUp reads entries from the store until there is no next one. A copy that is up to date costs one call.
+// CatchUp reads entries from the store until there is no next one, an empty copy from the newest snapshot
+// on. A copy that is up to date costs one call.
 func (j *Journal) CatchUp(ctx context.Context) error {
+	if j.Position() == 0 {
+		if err := j.restore(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		found, err := j.readNext(ctx)
 		if err != nil || !found {
@@ -207,6 +220,7 @@
 	if !created {
 		return Entry{}, false, nil
 	}
+	j.wantSnapshot(e.Position)
 	return e, true, j.Apply(e)
 }
 
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -67,7 +68,7 @@
 
 // RunSync compares this entry with a random one every second, until ctx ends.
 func (r *Roster) RunSync(ctx context.Context) error {
-	return every(ctx, syncInterval, func() {
+	return timer.Every(ctx, syncInterval, func() {
 		for _, peer := range r.pick(1) {
 			r.probe(peer)
 		}
@@ -264,7 +265,7 @@
 
 // RunDetector finds silent agents and entries, until ctx ends.
 func (r *Roster) RunDetector(ctx context.Context) error {
-	return every(ctx, detectInterval, func() {
+	return timer.Every(ctx, detectInterval, func() {
 		r.merge(r.detect()...)
 	})
 }
@@ -336,17 +337,3 @@
 	rec.Since = now
 	return append(lost, rec)
 }
-
-// every calls f at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func()) error {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			f()
-		}
-	}
-}
--- a/internal/roster/spread_test.go
+++ b/internal/roster/spread_test.go
@@ -7,56 +7,20 @@
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/journ"
+	"github.com/bergamotrun/bergamotrun/internal/kvfake"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 	"github.com/bergamotrun/bergamotrun/pkg/contr"
 )
 
-// fakeStore is a store in memory that counts calls.
-type fakeStore struct {
-	mu     sync.Mutex
-	values map[string][]byte
-	down   bool
-	calls  int
-}
-
-func (f *fakeStore) Get(_ context.Context, key string) ([]byte, bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if f.down {
-		return nil, false, errors.New("down")
-	}
-	v, ok := f.values[key]
-	return v, ok, nil
-}
-
-func (f *fakeStore) Create(_ context.Context, key string, value []byte) (bool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
-	if f.down {
-		return false, errors.New("down")
-	}
-	if _, ok := f.values[key]; ok {
-		return false, nil
-	}
-	f.values[key] = value
-	return true, nil
-}
-
-func (f *fakeStore) Entries(context.Context) ([]netip.AddrPort, error) { return nil, nil }
-
 // node is an entry's roster on sockets of its own.
 type node struct {
 	roster   *Roster
@@ -67,7 +31,7 @@
 }
 
 // group starts n rosters that share a store.
-func startGroup(t testing.TB, n int, store *fakeStore) []*node {
+func startGroup(t testing.TB, n int, store *kvfake.Memory) []*node {
 	t.Helper()
 	secret := fleet.Secret{1}
 	conf, err := secret.TLS()
@@ -169,7 +133,7 @@
 
 func TestNewsReachEveryEntry(t *testing.T) {
 	is := is.New(t)
-	store := &fakeStore{values: map[string][]byte{}}
+	store := kvfake.NewMemory()
 	nodes := startGroup(t, 60, store)
 	settle(t, 3*inForce, nodes, "knows all entries", func(n *node) bool { return n.roster.Len() == len(nodes) })
 	for i := range 5 {
@@ -184,14 +148,12 @@
 
 func TestNewsSpreadWhileTheStoreIsDown(t *testing.T) {
 	is := is.New(t)
-	store := &fakeStore{values: map[string][]byte{}}
+	store := kvfake.NewMemory()
 	nodes := startGroup(t, 30, store)
 	settle(t, 3*inForce, nodes, "knows all entries", func(n *node) bool { return n.roster.Len() == len(nodes) })
 	_, err := nodes[0].journal.Commit(t.Context(), change(1))
 	is.NoErr(err)
-	store.mu.Lock()
-	store.down = true
-	store.mu.Unlock()
+	store.SetDown(true)
 	settle(t, inForce, nodes, "has the change", func(n *node) bool { return n.journal.Position() == 1 })
 	nodes[3].roster.merge(agentRecord(1))
 	settle(t, inForce, nodes, "has the record", func(n *node) bool { return n.roster.Len() == len(nodes)+1 })
@@ -199,7 +161,7 @@
 
 func TestSilentEntryIsFoundAndContradicts(t *testing.T) {
 	is := is.New(t)
-	store := &fakeStore{values: map[string][]byte{}}
+	store := kvfake.NewMemory()
 	nodes := startGroup(t, 12, store)
 	settle(t, 3*inForce, nodes, "knows all entries", func(n *node) bool { return n.roster.Len() == len(nodes) })
 	dead, rest := nodes[5], nodes[:5]
@@ -236,7 +198,7 @@
 }
 
 func benchmarkSpread(b *testing.B, n int) {
-	store := &fakeStore{values: map[string][]byte{}}
+	store := kvfake.NewMemory()
 	nodes := startGroup(b, n, store)
 	settle(b, 10*inForce, nodes, "knows all entries", func(nd *node) bool { return nd.roster.Len() == n })
 	const (
@@ -244,7 +206,7 @@
 		changes   = 4 // 0.42 changes a second.
 		processes = 2 // 0.2 starts and ends of processes a second.
 	)
-	before, calls := int64(0), store.calls
+	before, calls := int64(0), store.Calls()
 	for _, nd := range nodes {
 		before += nd.bytes()
 	}
@@ -265,9 +227,7 @@
 	for _, nd := range nodes {
 		after += nd.bytes()
 	}
-	store.mu.Lock()
-	calls = store.calls - calls
-	store.mu.Unlock()
+	calls = store.Calls() - calls
 	for b.Loop() {
 		nodes[0].roster.Len()
 	}
@@ -279,7 +239,7 @@
 // lonely returns a roster that knows n agents of 13,000 services.
 func lonely(b *testing.B, n int) *Roster {
 	b.Helper()
-	nodes := startGroup(b, 1, &fakeStore{values: map[string][]byte{}})
+	nodes := startGroup(b, 1, kvfake.NewMemory())
 	r := nodes[0].roster
 	for i := range n {
 		rec := agentRecord(i)
--- a/internal/sett/sett.go
+++ b/internal/sett/sett.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -21,7 +22,11 @@
 
 // Error names the file, line, key and value, and what is wrong.
 func (f Fault) Error() string {
-	text := fmt.Sprintf("%s:%d: %s", f.File, f.Line, f.Key)
+	text := f.File
+	if f.Line > 0 {
+		text += fmt.Sprintf(":%d", f.Line)
+	}
+	text += ": " + f.Key
 	if f.Value != "" {
 		text += " = " + f.Value
 	}
@@ -40,80 +45,119 @@
 	return strings.Join(lines, "\n")
 }
 
-// Decode reads TOML text of a file into settings, which hold the defaults. Keys that settings lacks,
-// wrong types and values that don't decode are returned as Faults.
+// Decode reads TOML text of a file into settings, which hold the defaults. Unknown keys, wrong types and
+// values that don't decode are all returned as Faults; the other settings are decoded.
 func Decode(file string, text []byte, settings any) error {
+	err := decodeStrict(text, settings)
+	if err == nil {
+		return nil
+	}
+	statements := split(text)
 	var faults Faults
-	text = blankFaulty(file, text, settings, &faults)
-	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	err := decoder.Decode(settings)
-	var strict *toml.StrictMissingError
-	switch {
-	case err == nil:
-	case errors.As(err, &strict):
-		for i := range strict.Errors {
-			faults = append(faults, fault(file, text, &strict.Errors[i], "unknown key"))
+	var good []statement
+	for _, st := range statements {
+		if fault, ok := st.check(file, settings); !ok {
+			faults = append(faults, fault)
+			continue
 		}
-	default:
-		faults = append(faults, decodeFault(file, text, err))
+		good = append(good, st)
+	}
+	if len(faults) == 0 {
+		return Faults{whole(file, err)} // A fault between statements, such as a key that stands twice.
 	}
-	if len(faults) > 0 {
-		return faults
+	if err := decodeStrict(join(good), settings); err != nil {
+		faults = append(faults, whole(file, err))
 	}
-	return nil
+	return faults
 }
 
-// maxFaulty bounds the values of a wrong type that are reported of one file.
-const maxFaulty = 64
-
-// blankFaulty finds the values that don't decode one after the other, by blanking the line of each that
-// is found, and returns the text without them.
-func blankFaulty(file string, text []byte, settings any, faults *Faults) []byte {
-	for range maxFaulty {
-		err := toml.Unmarshal(text, clone(settings))
-		var bad *toml.DecodeError
-		if err == nil || !errors.As(err, &bad) {
-			return text
-		}
-		row, _ := bad.Position()
-		f := fault(file, text, bad, bad.Error())
-		*faults = append(*faults, f)
-		lines := bytes.Split(text, []byte("\n"))
-		if row < 1 || row > len(lines) {
-			return text
-		}
-		lines[row-1] = nil
-		text = bytes.Join(lines, []byte("\n"))
-	}
-	return text
+func decodeStrict(text []byte, settings any) error {
+	return toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(settings)
 }
 
-func decodeFault(file string, text []byte, err error) Fault {
+// whole returns the fault of a file that no single statement shows.
+func whole(file string, err error) Fault {
+	f := Fault{File: file, Reason: strings.TrimPrefix(err.Error(), "toml: ")}
 	var bad *toml.DecodeError
 	if errors.As(err, &bad) {
-		return fault(file, text, bad, bad.Error())
+		f.Line, _ = bad.Position()
+		f.Key = strings.Join(bad.Key(), ".")
+	}
+	return f
+}
+
+// statement is a key with its value, under the header of its table.
+type statement struct {
+	line    int
+	section string
+	// table counts the headers before the statement, which tells tables of one array apart.
+	table int
+	text  string
+}
+
+// split returns the statements of a TOML text.
+func split(text []byte) []statement {
+	var out []statement
+	section, table := "", 0
+	open := 0
+	for i, l := range strings.Split(string(text), "\n") {
+		trimmed := strings.TrimSpace(l)
+		switch {
+		case open > 0:
+			out[len(out)-1].text += "\n" + l
+			open += brackets(l)
+		case trimmed == "" || strings.HasPrefix(trimmed, "#"):
+		case strings.HasPrefix(trimmed, "["):
+			section = trimmed
+			table++
+		default:
+			out = append(out, statement{line: i + 1, section: section, table: table, text: l})
+			open = brackets(l)
+		}
 	}
-	return Fault{File: file, Reason: err.Error()}
+	return out
 }
 
-func fault(file string, text []byte, bad *toml.DecodeError, reason string) Fault {
-	row, _ := bad.Position()
-	key, value := keyAndValue(text, row)
-	if full := strings.Join(bad.Key(), "."); full != "" {
-		key = full
+// brackets returns how many brackets a line opens more than it closes.
+func brackets(l string) int { return strings.Count(l, "[") - strings.Count(l, "]") }
+
+// join returns statements as one text.
+func join(statements []statement) []byte {
+	var b strings.Builder
+	table := 0
+	for _, st := range statements {
+		if st.table != table {
+			table = st.table
+			b.WriteString(st.section + "\n")
+		}
+		b.WriteString(st.text + "\n")
 	}
-	return Fault{File: file, Line: row, Key: key, Value: value, Reason: strings.TrimPrefix(reason, "toml: ")}
+	return []byte(b.String())
 }
 
-// keyAndValue returns what stands on a line of the text. The values of secrets are left out.
-func keyAndValue(text []byte, row int) (key, value string) {
-	lines := strings.Split(string(text), "\n")
-	if row < 1 || row > len(lines) {
-		return "", ""
+// check decodes a statement on its own, and returns its fault.
+func (st statement) check(file string, settings any) (fault Fault, ok bool) {
+	trial := reflect.New(reflect.TypeOf(settings).Elem()).Interface()
+	err := decodeStrict([]byte(st.section+"\n"+st.text+"\n"), trial)
+	if err == nil {
+		return Fault{}, true
 	}
-	key, value, _ = strings.Cut(lines[row-1], "=")
+	key, value, _ := strings.Cut(st.text, "=")
 	key, value = strings.TrimSpace(key), strings.TrimSpace(value)
-	return key, hideSecret(key, value)
+	fault = Fault{File: file, Line: st.line, Key: key, Value: hideSecret(key, value), Reason: reason(err)}
+	if table := strings.Trim(st.section, "[] "); table != "" {
+		fault.Key = table + "." + key
+	}
+	return fault, false
+}
+
+// reason returns what is wrong with a statement.
+func reason(err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return "unknown key"
+	}
+	return strings.TrimPrefix(err.Error(), "toml: ")
 }
 
 // secretKeys are the keys whose values are never shown.
--- a/tests/help_test.go
+++ b/tests/help_test.go
@@ -1,12 +1,14 @@
 package tests
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/bergamotrun/bergamotrun/internal/kvfake"
 	"github.com/bergamotrun/bergamotrun/pkg/caller"
@@ -17,6 +19,18 @@
 	kvDown    = kvfake.Faults{Down: true}
 )
 
+// scenarioLimit bounds a scenario.
+const scenarioLimit = 120 * time.Second
+
+// startDesk starts a cluster with the service desk, which has no targets yet.
+func startDesk(t *testing.T, entries int) (context.Context, *cluster, *service, *ledger) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), scenarioLimit)
+	t.Cleanup(cancel)
+	c := newCluster(t, entries)
+	return ctx, c, c.addService("desk", nil), newLedger()
+}
+
 // readLines sends a request and returns the lines of its answer.
 func readLines(t testing.TB, c *caller.Client, req *http.Request) []string {
 	t.Helper()
