--- a/internal/ctrl/ctrl_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -1,10 +1,13 @@
 package ctrl
 
 import (
+	"bytes"
+	"encoding/gob"
 	"expvar"
 	"net"
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -154,11 +157,17 @@
 		}
 		return float64(len(out))
 	}
+	var bulk bytes.Buffer
+	const records = 1000
+	if err := gob.NewEncoder(&bulk).Encode(ExchangeReply{Records: slices.Repeat([]view.Record{rec}, records)}); err != nil {
+		b.Fatal(err)
+	}
 	for b.Loop() {
 		if _, err := Encode(c, KindBeat, testBeat); err != nil {
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(bulk.Len())/records, "bulk-B/record")
 	b.ReportMetric(size(KindBeat, testBeat), "beat-B")
 	b.ReportMetric(size(KindAck, Ack{Record: rec, Serial: 1 << 20, KeySerial: 1 << 20, Members: 1 << 63, Entry: rec}), "ack-B")
 	b.ReportMetric(size(KindSync, Sync{Record: rec, Position: 1 << 20, Root: 1 << 63, Peer: rec}), "sync-B")
