--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/journ"
 	"github.com/bergamotrun/bergamotrun/internal/roster"
+	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -180,6 +181,7 @@
 	duties := []func(context.Context) error{
 		e.applyChanges,
 		e.announce,
+		e.openDoors,
 		e.journal.RunSnapshots,
 		e.roster.RunSync,
 		e.roster.RunRumors,
@@ -257,6 +259,15 @@
 	}
 }
 
+// openInterval is the time between two tries to bind service addresses that couldn't be bound.
+const openInterval = 5 * time.Second
+
+// openDoors binds the service addresses that couldn't be bound when their contract came in force, such as
+// those that the instance got later, until ctx ends.
+func (e *Entry) openDoors(ctx context.Context) error {
+	return timer.Every(ctx, openInterval, e.path.Open)
+}
+
 // advanced notes that the journal has advanced.
 func (e *Entry) advanced() {
 	e.signal()
--- a/tests/help_test.go
+++ b/tests/help_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -11,12 +12,15 @@
 	"time"
 
 	"github.com/bergamotrun/bergamotrun/internal/kvfake"
+	"github.com/bergamotrun/bergamotrun/internal/sample"
 	"github.com/bergamotrun/bergamotrun/pkg/caller"
 )
 
 var (
 	kvHealthy = kvfake.Faults{}
 	kvDown    = kvfake.Faults{Down: true}
+
+	drainingServer = sample.Faults{Draining: true}
 )
 
 // scenarioLimit bounds a scenario.
@@ -31,6 +35,17 @@
 	return ctx, c, c.addService("desk", nil), newLedger()
 }
 
+// freePort returns a UDP port that was free on all addresses.
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
 // readLines sends a request and returns the lines of its answer.
 func readLines(t testing.TB, c *caller.Client, req *http.Request) []string {
 	t.Helper()
--- a/tests/proc_test.go
+++ b/tests/proc_test.go
@@ -38,8 +38,11 @@
 	leaveLimit = 3 * time.Second // A leaving server gets no new work after that.
 )
 
-// nextNet gives each deployment loopback addresses of its own.
-var nextNet atomic.Int32
+// nextNet gives each deployment loopback addresses of its own, firstNet those of each run of the tests.
+var (
+	nextNet  atomic.Int32
+	firstNet = byte(40 + os.Getpid()%200)
+)
 
 // cluster is a deployment whose entries and agents are processes of their own.
 type cluster struct {
@@ -52,6 +55,9 @@
 	auth    *devel.Authority
 	entries []*proc
 
+	// bind is the IP for callers in entries' settings; empty for their own one, behind the fabric.
+	bind string
+
 	mu   sync.Mutex
 	host byte
 }
@@ -91,8 +97,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const firstNet, seed = 128, 20261204
-	c := &cluster{t: t, dir: t.TempDir(), net: byte(firstNet + nextNet.Add(1)), store: kvfake.New(), fabric: fabric.New(seed), auth: auth}
+	const seed = 20261204
+	c := &cluster{t: t, dir: t.TempDir(), net: byte(nextNet.Add(1)), store: kvfake.New(), fabric: fabric.New(seed), auth: auth}
 	server := httptest.NewServer(c.store)
 	t.Cleanup(server.CloseClientConnections)
 	c.url = server.URL
@@ -108,7 +114,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.host++
-	return netip.AddrFrom4([4]byte{127, c.net, 0, c.host})
+	return netip.AddrFrom4([4]byte{127, firstNet, c.net, c.host})
 }
 
 func (c *cluster) peers() string {
@@ -123,6 +129,10 @@
 func (c *cluster) addEntry() *proc {
 	c.t.Helper()
 	ip := c.ip()
+	bind := c.bind
+	if bind == "" {
+		bind = ip.String()
+	}
 	p := c.start("entry", ip, fmt.Sprintf(`
 domain = "a"
 secret = %q
@@ -138,7 +148,7 @@
 [admin]
 address = "%s:7002"
 token = %q
-`, testSecret, c.peers(), ip, ip, ip, c.url, ip, testToken))
+`, testSecret, c.peers(), bind, ip, ip, c.url, ip, testToken))
 	p.awaitReady()
 	c.entries = append(c.entries, p)
 	c.setFabric()
@@ -187,6 +197,12 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	return c.addServiceAt(name, address, change)
+}
+
+// addServiceAt creates the contract of a service that callers reach at an address.
+func (c *cluster) addServiceAt(name string, address netip.AddrPort, change func(*contr.Contract)) *service {
+	c.t.Helper()
 	s := &service{c: c, name: name, address: address}
 	s.cert, s.key = c.writeCert(name)
 	contract := contr.Contract{
--- a/tests/table_test.go
+++ b/tests/table_test.go
@@ -116,6 +116,8 @@
 	{handSteps[:2], []string{"freeze and resume"}, by("TestPeerFrozenDuringHandOver")},
 	{[]string{"announce", "ticket used"}, []string{"same fault twice"}, by("TestAgentKilledTwice")},
 	{[]string{"ticket minted"}, []string{"kill", "same fault twice"}, by("TestAgentKilledTwice")},
+	{[]string{"answer headers", "answer body"}, []string{"kill"}, by("TestBackendServerDiesDuringAnswer")},
+	{[]string{"hand-over answered"}, []string{"kill"}, by("TestHandOverIsCutWhenThePeerDies")},
 	{[]string{"packet key rotation"}, []string{"uneven updates"}, by("TestKeyRotationBreaksNoFlow", "internal/connid.TestKeysRotate")},
 	{[]string{"packet key rotation"}, []string{"racing operators"}, by("internal/journ.TestFirstKeyIsOne")},
 }
