An agent that passes a handshake on shows the entry that it lives

Cause: the other agent's answer doesn't count for the one that passed on, so that an entry took an agent for silent after three handshakes passed on within a quarter of a second without other answers, and sent the later datagrams of handshakes elsewhere than the other entries did. A ClientHello of two datagrams could then end at two agents. Found by reading, while looking for the flow that once failed to open.

--- a/internal/agent/conn.go
+++ b/internal/agent/conn.go
@@ -152,6 +152,7 @@
 		c.counters.Add("packets_in", 1)
 		return header, true
 	}
+	_ = c.send(nil, header.Service, header.Caller, header.Entry) // Shows the entry that this agent lives.
 	header.Kind = wrap.Pass
 	wrap.Seal(ring, header, m.Buf[m.Start:m.End])
 	if err := c.conn.WriteTo(m.Buf[m.Start:m.End], agent); err != nil {
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -291,6 +291,7 @@
 }
 
 // unwrap takes the envelope off an agent's datagram and returns its service, or nil when it must be dropped.
+// An empty datagram only shows that the agent lives; it leaves an empty message.
 func (p *Path) unwrap(m *mmsg.Message) *Service {
 	ring := p.opts.Keys.Ring()
 	if ring == nil {
