Incarnations differ whatever the clocks say; stored answers keep no load news

An incarnation was the time of the start in milliseconds: two processes at one address with a clock set back to the same millisecond could have shared ledgers and flows. It now has 16 random bits.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -156,5 +156,7 @@
 
 // answer returns the copy of the answer.
 func (w *answerWriter) answer() ticket.Answer {
-	return ticket.Answer{Code: w.code, Header: w.Header().Clone(), Body: w.body}
+	h := w.Header().Clone()
+	h.Del(headerLoad) // It told a peer of the load at that time.
+	return ticket.Answer{Code: w.code, Header: h, Body: w.body}
 }
--- a/internal/agent/member.go
+++ b/internal/agent/member.go
@@ -118,7 +118,7 @@
 		Service:     k.record.Number,
 		Domain:      a.opts.Domain,
 		Weight:      a.opts.Weight,
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Incarnation: view.NewIncarnation(time.Now(), uint16(rand.Uint32())),
 		State:       view.Up,
 	}
 	for i := range k.members {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -144,7 +144,7 @@
 		Control:     e.link.Addr(),
 		Role:        view.Entry,
 		Domain:      e.opts.Domain,
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Incarnation: view.NewIncarnation(time.Now(), uint16(rand.Uint32())),
 		State:       view.Up,
 	}
 }
--- a/internal/view/record.go
+++ b/internal/view/record.go
@@ -75,6 +75,15 @@
 	Since time.Time `cbor:"10,keyasint,omitempty"`
 }
 
+// incarnationBits is the number of random bits in an incarnation.
+const incarnationBits = 16
+
+// NewIncarnation returns the incarnation of a process that starts at now. It grows with the time, and its
+// random part keeps two processes at one address apart whatever their clocks say.
+func NewIncarnation(now time.Time, random uint16) uint64 {
+	return uint64(now.UnixMilli())<<incarnationBits | uint64(random)
+}
+
 // Newer reports whether r wins against other, a record of the same address.
 func (r *Record) Newer(other *Record) bool {
 	order := cmp.Or(
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -93,6 +93,12 @@
 	is.True(!v.Merge(gone, later)) // A peer that still holds it doesn't bring it back.
 }
 
+func TestIncarnationsGrowAndDiffer(t *testing.T) {
+	is := is.New(t)
+	is.True(NewIncarnation(now.Add(time.Millisecond), 0) > NewIncarnation(now, 1<<16-1))
+	is.True(NewIncarnation(now, 1) != NewIncarnation(now, 2)) // Also when a clock was set back to the same time.
+}
+
 func TestAddressPassesToAnotherService(t *testing.T) {
 	is := is.New(t)
 	v := New()
