Replies read the sockets for callers without a lock

Workers shared a mutex once a batch, or once a port within one. Sockets of a port of which one couldn't be bound are closed again; they were left running.

--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,8 +31,9 @@
 	// shares holds the shares of each worker; its entries are nil for no limit.
 	shares []*Shares
 
+	// doors holds the sockets of each port for callers; it is replaced under mu, and read without a lock.
+	doors atomic.Pointer[map[uint16][]*mmsg.Conn]
 	mu    sync.Mutex
-	doors map[uint16][]*mmsg.Conn
 	wg    sync.WaitGroup
 	ctx   context.Context
 }
@@ -57,7 +60,8 @@
 
 // NewPath returns a path that is bound to the address for agents.
 func NewPath(ctx context.Context, opts PathOptions) (*Path, error) {
-	p := &Path{opts: opts, doors: make(map[uint16][]*mmsg.Conn), ctx: ctx}
+	p := &Path{opts: opts, ctx: ctx}
+	p.doors.Store(&map[uint16][]*mmsg.Conn{})
 	addr := opts.Packets
 	p.shares = make([]*Shares, opts.Workers)
 	for i := range opts.Workers {
@@ -89,13 +93,9 @@
 // Close closes all sockets and waits for the workers.
 func (p *Path) Close() {
 	p.mu.Lock()
-	for _, c := range p.back {
-		_ = c.Close()
-	}
-	for _, list := range p.doors {
-		for _, c := range list {
-			_ = c.Close()
-		}
+	closeAll(p.back)
+	for _, list := range *p.doors.Load() {
+		closeAll(list)
 	}
 	p.mu.Unlock()
 	p.wg.Wait()
@@ -116,27 +116,36 @@
 func (p *Path) openDoor(port uint16) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.doors[port] != nil || p.ctx.Err() != nil {
+	doors := maps.Clone(*p.doors.Load())
+	if doors[port] != nil || p.ctx.Err() != nil {
 		return nil
 	}
 	opts := mmsg.Options{Shared: p.opts.Workers > 1, Local: p.opts.Bind.IsUnspecified()}
-	for i := range p.opts.Workers {
+	for range p.opts.Workers {
 		c, err := mmsg.Listen(p.ctx, netip.AddrPortFrom(p.opts.Bind, port), opts)
 		if err != nil {
+			closeAll(doors[port])
 			return err
 		}
-		p.doors[port] = append(p.doors[port], c)
+		doors[port] = append(doors[port], c)
+	}
+	p.doors.Store(&doors)
+	for i, c := range doors[port] {
 		p.wg.Add(1)
 		go p.runDoor(c, p.back[i], p.shares[i])
 	}
 	return nil
 }
 
+func closeAll(conns []*mmsg.Conn) {
+	for _, c := range conns {
+		_ = c.Close()
+	}
+}
+
 // doorConn returns a socket that callers of the port know.
 func (p *Path) doorConn(port uint16) *mmsg.Conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if list := p.doors[port]; len(list) > 0 {
+	if list := (*p.doors.Load())[port]; len(list) > 0 {
 		return list[0]
 	}
 	return nil
