--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -333,6 +333,7 @@
 	if !ok || rec.State == view.Lost || rec.State == view.Gone {
 		return lost
 	}
+	r.log.Warn("a process is silent; taking it for lost", zap.Stringer("process", addr), zap.Uint32("service", rec.Service))
 	rec.State = view.Lost
 	rec.Since = now
 	return append(lost, rec)
--- a/tests/answer_test.go
+++ b/tests/answer_test.go
@@ -17,6 +17,7 @@
 	is := is.New(t)
 	c := newCluster(t, 0)
 	c.bind = "0.0.0.0"
+	c.workers = 3
 	c.addEntry()
 	port := freePort(t)
 	desk := c.addServiceAt("desk", netip.AddrPortFrom(c.ip(), port), nil)
--- a/tests/proc_test.go
+++ b/tests/proc_test.go
@@ -57,6 +57,8 @@
 
 	// bind is the IP for callers in entries' settings; empty for their own one, behind the fabric.
 	bind string
+	// workers is the number of workers of entries; 0 for the default.
+	workers int
 
 	mu   sync.Mutex
 	host byte
@@ -143,12 +145,13 @@
 control = "%s:7001"
 agents = ["127.0.0.0/8"]
 leave = "1500ms"
+workers = %d
 [store]
 url = %q
 [admin]
 address = "%s:7002"
 token = %q
-`, testSecret, c.peers(), bind, ip, ip, c.url, ip, testToken))
+`, testSecret, c.peers(), bind, ip, ip, max(1, c.workers), c.url, ip, testToken))
 	p.awaitReady()
 	c.entries = append(c.entries, p)
 	c.setFabric()
