--- a/internal/admin/contract.go
+++ b/internal/admin/contract.go
@@ -141,6 +141,20 @@
 	return req, true
 }
 
+// readContract reads the body of a change that holds a contract, with its defaults filled in. It answers
+// itself when the body is bad.
+func (a *API) readContract(w http.ResponseWriter, r *http.Request) (Request, contr.Contract, bool) {
+	req, ok := a.read(w, r)
+	if !ok {
+		return req, contr.Contract{}, false
+	}
+	if req.Contract == nil {
+		writeError(w, http.StatusBadRequest, Problem{Error: "contract: is missing"})
+		return req, contr.Contract{}, false
+	}
+	return req, req.Contract.WithDefaults(), true
+}
+
 // match reads the serial that a change was made from. It answers itself when there is none.
 func match(w http.ResponseWriter, r *http.Request) (uint64, bool) {
 	text := r.Header.Get("If-Match")
@@ -157,15 +171,10 @@
 }
 
 func (a *API) create(w http.ResponseWriter, r *http.Request) {
-	req, ok := a.read(w, r)
+	req, c, ok := a.readContract(w, r)
 	if !ok {
 		return
 	}
-	if req.Contract == nil {
-		writeError(w, http.StatusBadRequest, Problem{Error: "contract: is missing"})
-		return
-	}
-	c := req.Contract.WithDefaults()
 	a.commit(w, r, http.StatusCreated, journ.Change{Op: journ.Create, Name: c.Name, Contract: &c}, req)
 }
 
@@ -174,15 +183,10 @@
 	if !ok {
 		return
 	}
-	req, ok := a.read(w, r)
+	req, c, ok := a.readContract(w, r)
 	if !ok {
 		return
 	}
-	if req.Contract == nil {
-		writeError(w, http.StatusBadRequest, Problem{Error: "contract: is missing"})
-		return
-	}
-	c := req.Contract.WithDefaults()
 	a.commit(w, r, http.StatusOK, journ.Change{Op: journ.Update, Name: r.PathValue("name"), Match: serial, Contract: &c}, req)
 }
 
--- a/internal/devel/devel.go
+++ b/internal/devel/devel.go
@@ -233,15 +233,6 @@
 	<-e.done
 }
 
-// KillEntry ends an entry at once; the fabric still hands it datagrams until Replaced is called.
-func (*Deployment) KillEntry(e *Entry) {
-	e.Abort()
-	<-e.done
-}
-
-// Replaced takes an entry that was killed out of the fabric.
-func (d *Deployment) Replaced(e *Entry) { d.forget(e) }
-
 // forget takes an entry out of the fabric.
 func (d *Deployment) forget(e *Entry) {
 	d.mu.Lock()
@@ -339,20 +330,6 @@
 	return d.opts.Policy()
 }
 
-// Stop drains the target's agent, waits until it has ended, and ends the backend server.
-func (t *Target) Stop() {
-	t.stop()
-	<-t.done
-	t.Server.Close()
-}
-
-// Kill ends the target's agent at once and ends the backend server.
-func (t *Target) Kill() {
-	t.Agent.Abort()
-	<-t.done
-	t.Server.Close()
-}
-
 // Done is closed when the target's agent has ended.
 func (t *Target) Done() <-chan struct{} { return t.done }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -40,7 +40,6 @@
 	members   map[string]*member
 	order     []*member
 	ends      time.Time
-	short     bool
 }
 
 // New returns a divider of a capacity in packets a second; 0 means that nothing is ever short.
@@ -82,23 +81,17 @@
 	return true
 }
 
-// Short reports whether the last window's demand exceeded the capacity.
-func (d *Divider) Short() bool { return d.short }
-
 // turn starts a new window and allots its capacity by the demand of those before.
 func (d *Divider) turn(now time.Time) {
 	d.ends = d.ends.Add(window) // Windows follow each other, however late the first packet of one comes.
 	if d.ends.Before(now) {
 		d.ends = now.Add(window)
 	}
-	total := 0.0
 	for _, m := range d.order {
 		m.demand = max(m.asked, memory*m.demand+(1-memory)*m.asked)
-		total += m.demand
 		m.carry = max(0, min(m.allowed, m.allowed+m.carry-m.used))
 		m.asked, m.used = 0, 0
 	}
-	d.short = total > d.perWindow
 	d.allot()
 }
 
--- a/pkg/contr/check.go
+++ b/pkg/contr/check.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"regexp"
-	"slices"
 	"strings"
 	"time"
 )
@@ -82,12 +81,3 @@
 	}
 	return check.faults
 }
-
-// Equal reports whether two contracts are the same.
-func (c *Contract) Equal(other *Contract) bool {
-	a, b := *c, *other
-	sameLists := slices.Equal(a.Idempotent, b.Idempotent) && slices.Equal(a.Streams, b.Streams)
-	a.Idempotent, b.Idempotent = nil, nil
-	a.Streams, b.Streams = nil, nil
-	return sameLists && fmt.Sprint(a) == fmt.Sprint(b)
-}
