--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The targets that CI and developers use.
+
+GO ?= go
+
+.PHONY: build test race lint fmt check bench slopes fuzz
+
+build:
+	$(GO) build -o bergamotrun .
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./internal/... ./pkg/...
+
+# Fails when a file isn't formatted or a linter finds something.
+lint:
+	@test -z "$$(gofmt -l .)" || { echo "not formatted:"; gofmt -l .; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+	$(GO) tool revive -config .revive.toml -set_exit_status ./...
+
+fmt:
+	gofmt -w .
+
+check:
+	$(GO) run . dev -check
+
+# Prints the table of the measured policies; takes some minutes.
+bench: build
+	./bergamotrun load -suite conf/scenarios
+
+# Prints the slopes that docs/CAPACITY.md uses.
+slopes:
+	$(GO) test -run '^$$' -bench Slope -benchmem -benchtime 200ms ./...
+
+fuzz:
+	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/packet
+	$(GO) test -run '^$$' -fuzz FuzzOpen -fuzztime 20s ./internal/wrap
+	$(GO) test -run '^$$' -fuzz FuzzCodec -fuzztime 20s ./internal/ctrl
--- /dev/null
+++ b/cmd/dev.go
@@ -0,0 +1,121 @@
+package cmd
+
+import (
+	"context"
+	"encoding/pem"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/admin"
+	"github.com/bergamotrun/bergamotrun/internal/devel"
+)
+
+// devToken is the API's token in the dev command, which serves on loopback only.
+const devToken = "dev-token-for-loopback"
+
+func devCommand() *command {
+	return &command{
+		name:    "dev",
+		summary: "run a whole deployment in one process",
+		usage: "Usage: bergamotrun dev [flags]\n\nRuns a deployment of the brief's sizes in one process, with stand-ins for the store, the network and the\n" +
+			"backend servers, and serves until a signal. With -check it sends requests and holds streams while every entry is\n" +
+			"replaced and one agent drains, prints a summary, and fails unless all went well.\n\n" +
+			"Example: bergamotrun dev -deployment kalfaoglu\n\n",
+		run: runDev,
+	}
+}
+
+func runDev(ctx context.Context, inv *invocation) error {
+	name := inv.flags.String("deployment", "ovesna", "`name` of the deployment: ovesna or kalfaoglu")
+	check := inv.flags.Bool("check", false, "check the deployment and end")
+	seed := inv.flags.Uint64("seed", 1, "`seed` of the network's choices")
+	level := inv.flags.String("log", "error", "`level` of the log: debug, info, warn or error")
+	if err := inv.parse(0, 0); err != nil {
+		return err
+	}
+	log, err := newLog(inv.stderr, *level)
+	if err != nil {
+		return errors.Wrap(err, "-log")
+	}
+	spec, err := devel.LoadSpec(*name)
+	if err != nil {
+		return err
+	}
+	d, err := devel.Start(ctx, devel.Options{Spec: spec, Seed: *seed, Log: log})
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if *check {
+		return runCheck(ctx, inv, d)
+	}
+	return serveDev(ctx, inv, d, log)
+}
+
+func runCheck(ctx context.Context, inv *invocation, d *devel.Deployment) error {
+	started := time.Now()
+	note := func(format string, args ...any) {
+		inv.printf("%5.1fs %s\n", time.Since(started).Seconds(), fmt.Sprintf(format, args...))
+	}
+	result, err := d.Check(ctx, note)
+	inv.printf("%s\n", result)
+	if err != nil {
+		return err
+	}
+	if !result.OK() {
+		return errors.New("the check failed")
+	}
+	return nil
+}
+
+// serveDev tells what runs and what to try, and serves until ctx ends.
+func serveDev(ctx context.Context, inv *invocation, d *devel.Deployment, log *zap.Logger) error {
+	ca, err := writeCA(d)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(ca) }()
+	server, err := devAdmin(ctx, d, log)
+	if err != nil {
+		return err
+	}
+	inv.printf("store          %s\n", d.StoreURL)
+	for _, e := range d.Entries() {
+		inv.printf("entry          callers %s, packets %s, control %s\n", e.Bind, e.Packets(), e.Control())
+	}
+	for _, s := range d.Services() {
+		inv.printf("service        %s at https://%s, %d backend servers\n", s.Spec.Name, s.Address, len(s.Targets))
+	}
+	inv.printf("administration http://%s\n\nTry next:\n", server.Address())
+	s := d.Services()[0]
+	inv.printf("  bergamotrun call -ca %s -name %s 'https://%s/work/a?ms=10'\n", ca, s.Spec.Name, s.Address)
+	inv.printf("  bergamotrun call -ca %s -name %s -X POST -d '3 pallets' https://%s/orders\n", ca, s.Spec.Name, s.Address)
+	inv.printf("  %s=%s bergamotrun contract list -admin http://%s\n", tokenVariable, devToken, server.Address())
+	inv.printf("  curl http://%s/debug/vars\n\nA signal ends it.\n", server.Address())
+	return server.Run(ctx)
+}
+
+// devAdmin returns the administration server of the first entry.
+func devAdmin(ctx context.Context, d *devel.Deployment, log *zap.Logger) (*admin.Server, error) {
+	e := d.Entries()[0]
+	return admin.New(ctx, admin.Options{
+		Address: netip.MustParseAddrPort("127.0.0.1:0"), Token: devToken, Vars: e.Vars, Ready: isClosed(e.Ready()),
+		API: admin.NewAPI(e.Journal(), e.Roster(), d.Secret, log), Log: log,
+	})
+}
+
+// writeCA writes the certificate that signs the services' ones to a temporary file.
+func writeCA(d *devel.Deployment) (string, error) {
+	f, err := os.CreateTemp("", "bergamotrun-ca-*.pem")
+	if err != nil {
+		return "", errors.Wrap(err, "write the services' authority")
+	}
+	defer func() { _ = f.Close() }()
+	err = pem.Encode(f, &pem.Block{Type: "CERTIFICATE", Bytes: d.Authority.DER()})
+	return f.Name(), errors.Wrap(err, "write the services' authority")
+}
--- /dev/null
+++ b/internal/admin/key.go
@@ -0,0 +1,56 @@
+package admin
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/journ"
+)
+
+// KeyAnswer is the answer to a change of packet keys.
+type KeyAnswer struct {
+	Number uint8  `json:"number"`
+	Serial uint64 `json:"serial"`
+}
+
+// keyOps maps the API's names to operations of the journal.
+var keyOps = map[string]journ.Op{"add": journ.AddKey, "use": journ.UseKey, "drop": journ.DropKey}
+
+// key adds a packet key, uses it for new flows, or drops it. The number is the query parameter of that name.
+func (a *API) key(w http.ResponseWriter, r *http.Request) {
+	op, ok := keyOps[r.PathValue("op")]
+	if !ok {
+		writeError(w, http.StatusNotFound, Problem{Error: "a key change is add, use or drop"})
+		return
+	}
+	number, err := strconv.ParseUint(r.URL.Query().Get("number"), 10, 8)
+	if err != nil {
+		writeError(w, http.StatusBadRequest, Problem{Error: fmt.Sprintf("number = %q: must be 0 to 255", r.URL.Query().Get("number"))})
+		return
+	}
+	req, ok := a.read(w, r)
+	if !ok {
+		return
+	}
+	sealed := fleet.SealedKey{Number: uint8(number)}
+	if op == journ.AddKey {
+		if sealed, err = a.secret.Seal(fleet.NewKey(uint8(number))); err != nil {
+			a.fail(w, err)
+			return
+		}
+	}
+	change := journ.Change{ID: req.ID, Op: op, Who: req.Who, Why: req.Why, When: time.Now().UTC(), Key: &sealed}
+	entry, err := a.journal.Commit(r.Context(), change)
+	if err != nil {
+		a.fail(w, err)
+		return
+	}
+	a.log.Info("key change accepted", zap.String("op", string(op)), zap.Uint64("number", number),
+		zap.String("who", req.Who), zap.Uint64("serial", entry.Position))
+	writeJSON(w, http.StatusOK, KeyAnswer{Number: uint8(number), Serial: entry.Position})
+}
--- a/internal/agent/member.go
+++ b/internal/agent/member.go
@@ -195,8 +195,9 @@
 // beat sends a heartbeat to each home entry.
 func (a *Agent) beat() {
 	self := a.record()
-	beat := ctrl.Beat{Record: self, Service: a.opts.Service}
-	for _, home := range a.know.get().homes(self.Control) {
+	k := a.know.get()
+	beat := ctrl.Beat{Record: self, Service: a.opts.Service, Serial: k.record.Serial}
+	for _, home := range k.homes(self.Control) {
 		_ = ctrl.Send(a.link, home, ctrl.KindBeat, beat)
 	}
 }
--- a/internal/ctrl/codec.go
+++ b/internal/ctrl/codec.go
@@ -42,6 +42,8 @@
 	Record view.Record `cbor:"1,keyasint"`
 	// Service is the name of the agent's service.
 	Service string `cbor:"2,keyasint"`
+	// Serial is the serial of the contract in force at the agent.
+	Serial uint64 `cbor:"3,keyasint"`
 }
 
 // Ack answers a Beat. What differs from what the agent holds, it fetches by a call.
--- a/internal/ctrl/rpc.go
+++ b/internal/ctrl/rpc.go
@@ -170,3 +170,17 @@
 		delete(c.conns, addr)
 	}
 }
+
+// StatusArgs asks an entry which version of a contract is in force at it and at the agents that it hears.
+type StatusArgs struct{ Name string }
+
+// Instance is a process with the serial of a contract that is in force at it.
+type Instance struct {
+	Packets netip.AddrPort `json:"packets"`
+	Role    string         `json:"role"`
+	Domain  string         `json:"domain"`
+	Serial  uint64         `json:"serial"`
+}
+
+// StatusReply lists the entry and the agents that it hears.
+type StatusReply struct{ Instances []Instance }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -49,15 +49,21 @@
 	mu      sync.Mutex
 	self    view.Record
 	view    *view.View
-	heard   map[netip.AddrPort]time.Time
+	heard   map[netip.AddrPort]heard
 	probes  map[netip.AddrPort]*probe
 	hot     []view.Record
 	rand    *rand.Rand
 	checked time.Time
 
-	keySerial uint64
-	pulls     chan netip.AddrPort
-	wake      chan struct{}
+	pulls chan netip.AddrPort
+	wake  chan struct{}
+}
+
+// heard is the last heartbeat of an agent.
+type heard struct {
+	at time.Time
+	// serial is the serial of the contract in force at the agent.
+	serial uint64
 }
 
 // probe counts the syncs that an entry has not answered.
@@ -97,7 +103,7 @@
 		log:    opts.Log,
 		self:   opts.Self,
 		view:   view.New(),
-		heard:  make(map[netip.AddrPort]time.Time),
+		heard:  make(map[netip.AddrPort]heard),
 		probes: make(map[netip.AddrPort]*probe),
 		rand:   opts.Rand,
 		pulls:  make(chan netip.AddrPort, 1),
@@ -238,7 +244,7 @@
 	if rec.State == view.Gone {
 		delete(r.heard, rec.Packets)
 	} else {
-		r.heard[rec.Packets] = r.opts.Now()
+		r.heard[rec.Packets] = heard{at: r.opts.Now(), serial: beat.Serial}
 	}
 	ack.Record, _ = r.view.Get(rec.Packets)
 	ack.Members = r.view.ServiceHash(rec.Service)
--- a/internal/roster/run.go
+++ b/internal/roster/run.go
@@ -278,16 +278,17 @@
 // forgiveAll starts all waits anew: after a pause of this process it is its own ears that were shut.
 func (r *Roster) forgiveAll(now time.Time) {
 	r.log.Warn("this process was paused; the failure detector starts anew")
-	for addr := range r.heard {
-		r.heard[addr] = now
+	for addr, h := range r.heard {
+		h.at = now
+		r.heard[addr] = h
 	}
 	clear(r.probes)
 }
 
 func (r *Roster) silentAgents(now time.Time) []view.Record {
 	var lost []view.Record
-	for addr, at := range r.heard {
-		if now.Sub(at) < lostAfter {
+	for addr, h := range r.heard {
+		if now.Sub(h.at) < lostAfter {
 			continue
 		}
 		delete(r.heard, addr)
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -65,6 +66,7 @@
 	mu      sync.Mutex
 	faults  Faults
 	runs    map[string]int
+	orders  map[string]int
 	starts  []time.Time
 	foreign int
 	busy    time.Duration
@@ -78,7 +80,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "sample: listen on %s", addr)
 	}
-	s := &Server{opts: opts, slots: make(chan struct{}, opts.Slots), ln: ln, runs: make(map[string]int)}
+	s := &Server{opts: opts, slots: make(chan struct{}, opts.Slots), ln: ln, runs: make(map[string]int), orders: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/work/", s.serveWork)
 	mux.HandleFunc("/orders", s.serveWork)
@@ -109,11 +111,14 @@
 func (s *Server) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]int, len(s.runs))
-	for id, n := range s.runs {
-		out[id] = n
-	}
-	return out
+	return maps.Clone(s.runs)
+}
+
+// OrderRuns returns how often each identified POST request ran.
+func (s *Server) OrderRuns() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.orders)
 }
 
 // Foreign returns the number of requests that were meant for another service.
@@ -154,6 +159,9 @@
 	s.starts = append(s.starts, time.Now())
 	if id := r.Header.Get(HeaderID); id != "" {
 		s.runs[id]++
+		if r.Method == http.MethodPost {
+			s.orders[id]++
+		}
 	}
 	if meant := r.Header.Get(HeaderService); meant != "" && meant != s.opts.Service {
 		s.foreign++
