--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,6 +20,10 @@
 	loadInterval = 500 * time.Millisecond
 	// freeNoticeGap is the shortest time between two reports sent because slots became free.
 	freeNoticeGap = 50 * time.Millisecond
+	// flowNoticeGap is the shortest time between two reports sent because the number of flows changed,
+	// flowNoticePart the part by which it must have changed.
+	flowNoticeGap  = 200 * time.Millisecond
+	flowNoticePart = 0.03
 	// maxPeers bounds the peers that an agent exchanges load with.
 	maxPeers = 8
 
@@ -46,6 +51,8 @@
 	peers    []peer
 	ack      time.Time
 	lastTold time.Time
+	// lastFlows is the number of flows last told to all peers.
+	lastFlows int
 }
 
 func newPeerSet(r *rand.Rand, choose func(offer.Own, []offer.Peer, time.Time, float64) (int, offer.Why)) *peerSet {
@@ -116,8 +123,6 @@
 		p.take(load, now)
 		p.Draining = load.Record.State != view.Up
 		p.queued = load.Queued
-		p.flows = load.Flows
-		p.passed = 0
 		free = load.Free > 0 && !p.Failing && !p.Draining
 	})
 	return free
@@ -128,13 +133,15 @@
 	s.with(control, func(p *peer) { p.take(load, now) })
 }
 
-// take takes over what a report says of the slots.
+// take takes over what a report says of the slots and flows.
 func (p *peer) take(load ctrl.Load, now time.Time) {
 	p.Reported = now
 	p.Utilization = float64(load.Utilization) / thousand
 	p.Free = load.Free
 	p.Failing = load.Failing
 	p.Sent = 0
+	p.flows = load.Flows
+	p.passed = 0
 }
 
 const thousand = 1000
@@ -199,6 +206,13 @@
 	return view.Record{}, false
 }
 
+// told notes the number of flows that peers were told.
+func (s *peerSet) told(flows int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastFlows = flows
+}
+
 // audience returns the peers to report load to: all of them, or those that wait for free slots.
 func (s *peerSet) audience(waiting bool, now time.Time) []netip.AddrPort {
 	s.mu.Lock()
@@ -221,18 +235,31 @@
 	return out
 }
 
-// runLoads reports the load to peers until ctx ends.
+// flowsChanged reports whether the number of flows differs enough from what peers were told.
+func (s *peerSet) flowsChanged(flows int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change := math.Abs(float64(flows - s.lastFlows))
+	return change > 1 && change > flowNoticePart*float64(s.lastFlows)
+}
+
+// runLoads reports the load to peers until ctx ends: at an interval, and earlier when flows come fast.
 func (a *Agent) runLoads(ctx context.Context) error {
-	ticker := time.NewTicker(loadInterval)
+	ticker := time.NewTicker(flowNoticeGap)
 	defer ticker.Stop()
+	told := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			a.opening.Store(a.opening.Load() / 2) // Handshakes that were given up.
-			a.tellLoad()
 		}
+		if time.Since(told) < loadInterval && !a.peers.flowsChanged(a.flowCount()) {
+			continue
+		}
+		a.opening.Store(a.opening.Load() / 2) // Handshakes that were given up.
+		a.tellLoad()
+		told = time.Now()
 	}
 }
 
@@ -260,6 +287,7 @@
 		return
 	}
 	msg := a.ownLoad()
+	a.peers.told(msg.Flows)
 	for _, addr := range to {
 		_ = ctrl.Send(a.link, addr, ctrl.KindLoad, msg)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -114,24 +114,17 @@
 	return r.measure(ctx)
 }
 
-// openFlows opens the flows of all callers before the measurement starts.
+// openTime is the time over which the flows of a measurement are opened.
+const openTime = 2 * time.Second
+
+// openFlows opens the flows of all callers before the measurement starts, one after the other.
 func (r *runner) openFlows(ctx context.Context) error {
-	errs := make(chan error, r.scenario.Flows)
-	for i := range r.scenario.Flows {
-		go func() {
-			req, err := r.request(ctx, http.MethodGet, "/work/open?ms=0", "open", "")
-			if err != nil {
-				errs <- err
-				return
-			}
-			resp, err := r.callers[i].Do(ctx, req)
-			if err == nil {
-				_ = resp.Body.Close()
-			}
-			errs <- err
-		}()
+	errs := make(chan error, len(r.callers))
+	for _, c := range r.callers {
+		go func() { errs <- r.openFlow(ctx, c) }()
+		time.Sleep(openTime / time.Duration(len(r.callers)))
 	}
-	for range r.scenario.Flows {
+	for range r.callers {
 		if err := <-errs; err != nil {
 			return errors.Wrap(err, "open flows")
 		}
@@ -139,6 +132,18 @@
 	return nil
 }
 
+func (r *runner) openFlow(ctx context.Context, c *caller.Client) error {
+	req, err := r.request(ctx, http.MethodGet, "/work/open?ms=0", "open", "")
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(ctx, req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 func (r *runner) measure(ctx context.Context) (*Result, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/offer/offer.go
+++ b/internal/offer/offer.go
@@ -18,7 +18,7 @@
 	// minRoom is the expected number of free slots from which a peer is worth asking.
 	minRoom = 0.5
 	// gain weighs the excess of the utilization over the mean against that of the demand.
-	gain = 0.5
+	gain = 1.0
 )
 
 // Peer is another agent of the service, as it last reported.
