--- a/internal/agent/books.go
+++ b/internal/agent/books.go
@@ -8,7 +8,6 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/retry"
 	"github.com/bergamotrun/bergamotrun/internal/ticket"
-	"github.com/bergamotrun/bergamotrun/internal/view"
 	"github.com/bergamotrun/bergamotrun/pkg/contr"
 )
 
@@ -120,22 +119,16 @@
 	switch {
 	case t.Agent == self.Control && t.Incarnation == self.Incarnation:
 		a.runOnce(c, t.Serial, next)
-	case t.Agent == self.Control || c.mode == modeTicket || a.mintedByGone(t):
+	case t.Agent == self.Control || c.mode == modeTicket || a.know.get().hasEnded(t.Agent, t.Incarnation):
 		a.refuseGone(c)
 	default:
 		a.runAtMinter(c, t.Agent)
 	}
 }
 
-// mintedByGone reports whether the agent that minted a ticket is known to have ended.
-func (a *Agent) mintedByGone(t ticket.Ticket) bool {
-	m, ok := a.peers.member(t.Agent)
-	return ok && (m.Incarnation > t.Incarnation || m.State == view.Gone)
-}
-
 func (a *Agent) refuseGone(c *call) {
 	reason := "the agent that minted the ticket has ended: the request may have run, and will not be run again"
-	c.refuse(refusal{code: http.StatusConflict, run: contr.RunUnknown, reason: reason})
+	c.refuse(refusal{code: http.StatusConflict, run: contr.RunUnknown, arrival: contr.RunNot, reason: reason})
 }
 
 // runAtMinter brings a request to the agent that minted its ticket.
@@ -150,8 +143,14 @@
 		c.cut()
 	}
 	a.peers.failed(minter, time.Now())
-	reason := "the agent that minted the ticket doesn't answer: the request may have run before"
-	c.refuse(refusal{code: http.StatusServiceUnavailable, run: contr.RunUnknown, reason: reason, retry: retryFloor})
+	f := refusal{
+		code: http.StatusServiceUnavailable, run: contr.RunUnknown, retry: retryFloor,
+		reason: "the agent that minted the ticket doesn't answer: the request may have run before",
+	}
+	if res.fate == fateNotRun || res.fate == fateRejected {
+		f.arrival = contr.RunNot
+	}
+	c.refuse(f)
 }
 
 // runOnce runs a request whose ticket was minted here, or answers by what is known of it.
@@ -168,7 +167,7 @@
 		a.replay(c, answer)
 	case ticket.Forgotten:
 		reason := "the ticket was used: the request may have run, and its answer is not held"
-		c.refuse(refusal{code: http.StatusConflict, run: contr.RunUnknown, reason: reason})
+		c.refuse(refusal{code: http.StatusConflict, run: contr.RunUnknown, arrival: contr.RunNot, reason: reason})
 	default:
 		reason := contr.HeaderTicket + ": the serial was never given out"
 		c.refuse(refusal{code: http.StatusBadRequest, run: contr.RunNot, reason: reason})
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -62,9 +62,11 @@
 
 // refusal is an answer of the system's own.
 type refusal struct {
-	code   int
-	run    string
-	reason string
+	code int
+	run  string
+	// arrival is what became of this arrival, where run tells of the ticket; see contr.HeaderArrival.
+	arrival string
+	reason  string
 	// retry is how long the caller should stay away; zero for an answer that won't change.
 	retry time.Duration
 }
@@ -79,6 +81,9 @@
 	if f.run != "" {
 		h.Set(contr.HeaderRun, f.run)
 	}
+	if f.arrival != "" {
+		h.Set(contr.HeaderArrival, f.arrival)
+	}
 	if f.retry > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.retry.Seconds()))))
 	}
--- a/internal/agent/know.go
+++ b/internal/agent/know.go
@@ -18,6 +18,7 @@
 	record    contr.Record
 	keySerial uint64
 	members   []view.Record
+	gone      []view.Record
 	hash      uint64
 	entries   []view.Record
 }
@@ -45,6 +46,7 @@
 		fresh.keySerial = reply.KeySerial
 	}
 	fresh.members = reply.Members
+	fresh.gone = reply.Gone
 	fresh.hash = reply.Hash
 	fresh.entries = mergeEntries(before.entries, reply.Entries)
 	k.now.Store(&fresh)
@@ -76,6 +78,22 @@
 	return out[:min(len(out), maxEntries)]
 }
 
+// hasEnded reports whether the incarnation of the agent at a control address is known to have ended.
+func (k *knowledge) hasEnded(control netip.AddrPort, incarnation uint64) bool {
+	for _, list := range [][]view.Record{k.members, k.gone} {
+		for i := range list {
+			r := &list[i]
+			if r.Control != control || r.Incarnation < incarnation {
+				continue
+			}
+			if r.Incarnation > incarnation || r.State == view.Gone {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // homeCount is the number of entries that an agent sends heartbeats to.
 const homeCount = 3
 
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -194,18 +194,6 @@
 	return peer{}, time.Hour
 }
 
-// member returns the record of the peer with a control address.
-func (s *peerSet) member(control netip.AddrPort) (view.Record, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := range s.peers {
-		if s.peers[i].record.Control == control {
-			return s.peers[i].record, true
-		}
-	}
-	return view.Record{}, false
-}
-
 // told notes the number of flows that peers were told.
 func (s *peerSet) told(flows int) {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/ctrl/ctrl_test.go
@@ -0,0 +1,144 @@
+package ctrl
+
+import (
+	"expvar"
+	"net"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+)
+
+var testBeat = Beat{Service: "desk", Serial: 9, Record: view.Record{
+	Packets: netip.MustParseAddrPort("10.0.0.1:7000"), Control: netip.MustParseAddrPort("10.0.0.1:7001"),
+	Role: view.Agent, Service: 3, Domain: "a", Weight: 100, Incarnation: 1 << 50, Epoch: 4, State: view.Draining,
+}}
+
+func TestCodecRoundTrip(t *testing.T) {
+	is := is.New(t)
+	c := NewCodec(fleet.Secret{1})
+	b, err := Encode(c, KindBeat, testBeat)
+	is.NoErr(err)
+	kind, body, err := c.Open(append([]byte(nil), b...))
+	is.NoErr(err)
+	is.Equal(kind, KindBeat)
+	got, err := Decode[Beat](body)
+	is.NoErr(err)
+	is.Equal(got, testBeat)
+	for i := range b {
+		bad := append([]byte(nil), b...)
+		bad[i] ^= 1
+		_, _, err := c.Open(bad)
+		is.True(err != nil)
+	}
+	_, _, err = NewCodec(fleet.Secret{2}).Open(b)
+	is.Equal(err, ErrMAC)
+	_, err = Encode(c, KindRumor, Rumor{Records: make([]view.Record, 1000)})
+	is.Equal(err, ErrTooLarge)
+}
+
+func FuzzCodec(f *testing.F) {
+	c := NewCodec(fleet.Secret{1})
+	good, err := Encode(c, KindBeat, testBeat)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Add([]byte{1, 1})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_, body, err := c.Open(append([]byte(nil), b...))
+		if err != nil {
+			body = b // A message is decoded safely also when it is not authentic.
+		}
+		beat, decodeErr := Decode[Beat](body)
+		if err == nil && (decodeErr != nil || !reflect.DeepEqual(beat, testBeat)) {
+			t.Fatalf("made-up message accepted")
+		}
+		_, _ = Decode[Rumor](body)
+		_, _ = Decode[Sync](body)
+		_, _ = Decode[Load](body)
+		_, _ = Decode[Ack](body)
+	})
+}
+
+// Echo is a method set for calls in tests.
+type Echo struct{}
+
+// Say returns its argument.
+func (Echo) Say(arg string, reply *string) error {
+	*reply = arg
+	return nil
+}
+
+func TestCallsNeedTheSecret(t *testing.T) {
+	is := is.New(t)
+	conf, err := fleet.Secret{1}.TLS()
+	is.NoErr(err)
+	ln, link, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), conf, NewCodec(fleet.Secret{1}), new(expvar.Map))
+	is.NoErr(err)
+	defer func() { _, _ = link.Close(), ln.Close() }()
+	server, err := NewServer(ln, "Echo", Echo{})
+	is.NoErr(err)
+	go func() { _ = server.Serve() }()
+	client := NewClient(conf)
+	defer client.Close()
+	var reply string
+	is.NoErr(client.Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply))
+	is.Equal(reply, "hello")
+	foreign, err := fleet.Secret{2}.TLS()
+	is.NoErr(err)
+	is.True(NewClient(foreign).Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply) != nil)
+}
+
+func TestSilentConnectionDelaysOneCallOnly(t *testing.T) {
+	is := is.New(t)
+	conf, err := fleet.Secret{1}.TLS()
+	is.NoErr(err)
+	ln, link, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), conf, NewCodec(fleet.Secret{1}), new(expvar.Map))
+	is.NoErr(err)
+	defer func() { _, _ = link.Close(), ln.Close() }()
+	silent := make(chan net.Conn, 1)
+	go func() { // The first connection is accepted and goes silent; the others are served.
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go func() { _, _ = conn.Read(make([]byte, 1)) }()
+		silent <- conn
+		server, err := NewServer(ln, "Echo", Echo{})
+		if err == nil {
+			_ = server.Serve()
+		}
+	}()
+	client := NewClient(conf)
+	defer client.Close()
+	client.timeout = 200 * time.Millisecond
+	var reply string
+	is.True(client.Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply) != nil)
+	is.NoErr(client.Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply))
+	_ = (<-silent).Close()
+}
+
+func TestClientKeepsFewConnections(t *testing.T) {
+	is := is.New(t)
+	conf, err := fleet.Secret{1}.TLS()
+	is.NoErr(err)
+	client := NewClient(conf)
+	defer client.Close()
+	var reply string
+	for range maxConns + 5 {
+		ln, link, err := Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), conf, NewCodec(fleet.Secret{1}), new(expvar.Map))
+		is.NoErr(err)
+		defer func() { _, _ = link.Close(), ln.Close() }()
+		server, err := NewServer(ln, "Echo", Echo{})
+		is.NoErr(err)
+		go func() { _ = server.Serve() }()
+		is.NoErr(client.Call(t.Context(), link.Addr(), "Echo.Say", "hello", &reply))
+		is.True(len(client.conns) <= maxConns)
+	}
+}
--- a/internal/ctrl/rpc.go
+++ b/internal/ctrl/rpc.go
@@ -19,6 +19,8 @@
 const (
 	dialTimeout = 2 * time.Second
 	callTimeout = 10 * time.Second
+	// maxConns is how many connections a process keeps to others.
+	maxConns = 32
 )
 
 // ServiceArgs asks an entry for what the agent of a service needs.
@@ -31,6 +33,8 @@
 	Keys      journ.Keys
 	KeySerial uint64
 	Members   []view.Record
+	// Gone are former members that have ended lately.
+	Gone []view.Record
 	// Hash is the hash of Members that an Ack gives.
 	Hash    uint64
 	Entries []view.Record
@@ -91,21 +95,28 @@
 
 // Client calls other processes. It keeps one connection a process and is safe for concurrent use.
 type Client struct {
-	tls *tls.Config
+	tls     *tls.Config
+	timeout time.Duration
 
 	mu    sync.Mutex
-	conns map[netip.AddrPort]*rpc.Client
+	conns map[netip.AddrPort]*pooled
+}
+
+// pooled is a connection that is kept for further calls.
+type pooled struct {
+	rpc  *rpc.Client
+	used time.Time
 }
 
 // NewClient returns a client that proves itself by conf.
 func NewClient(conf *tls.Config) *Client {
-	return &Client{tls: conf, conns: make(map[netip.AddrPort]*rpc.Client)}
+	return &Client{tls: conf, timeout: callTimeout, conns: make(map[netip.AddrPort]*pooled)}
 }
 
 // Call calls method of the process at addr. A connection on which a call failed isn't used again, so
 // that one which has gone silent delays one call only.
 func (c *Client) Call(ctx context.Context, addr netip.AddrPort, method string, args, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	conn, err := c.conn(ctx, addr)
 	if err != nil {
@@ -128,10 +139,7 @@
 }
 
 func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn := c.conns[addr]
-	c.mu.Unlock()
-	if conn != nil {
+	if conn := c.take(addr); conn != nil {
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -141,20 +149,47 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "ctrl: dial %s", addr)
 	}
-	conn = rpc.NewClient(raw)
+	conn := rpc.NewClient(raw)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other := c.conns[addr]; other != nil {
 		_ = conn.Close()
-		return other, nil
+		return other.rpc, nil
 	}
-	c.conns[addr] = conn
+	if len(c.conns) >= maxConns {
+		c.evict()
+	}
+	c.conns[addr] = &pooled{rpc: conn, used: time.Now()}
 	return conn, nil
 }
 
+// take returns the connection that is kept to a process, or nil.
+func (c *Client) take(addr netip.AddrPort) *rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.conns[addr]
+	if p == nil {
+		return nil
+	}
+	p.used = time.Now()
+	return p.rpc
+}
+
+// evict closes the connection that was used the longest time ago. The caller holds the lock.
+func (c *Client) evict() {
+	var oldest netip.AddrPort
+	for addr, p := range c.conns {
+		if !oldest.IsValid() || p.used.Before(c.conns[oldest].used) {
+			oldest = addr
+		}
+	}
+	_ = c.conns[oldest].rpc.Close()
+	delete(c.conns, oldest)
+}
+
 func (c *Client) drop(addr netip.AddrPort, conn *rpc.Client) {
 	c.mu.Lock()
-	if c.conns[addr] == conn {
+	if p := c.conns[addr]; p != nil && p.rpc == conn {
 		delete(c.conns, addr)
 	}
 	c.mu.Unlock()
@@ -165,8 +200,8 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for addr, conn := range c.conns {
-		_ = conn.Close()
+	for addr, p := range c.conns {
+		_ = p.rpc.Close()
 		delete(c.conns, addr)
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,12 +34,14 @@
 	Domain  string
 	Agents  []netip.Prefix
 	PathMTU int
-	Workers int
-	Secret  fleet.Secret
-	Store   Store
-	Seeds   []netip.AddrPort
-	Log     *zap.Logger
-	Vars    *expvar.Map
+	// Capacity is how many datagrams a second of callers are forwarded at the most; 0 for no limit.
+	Capacity int
+	Workers  int
+	Secret   fleet.Secret
+	Store    Store
+	Seeds    []netip.AddrPort
+	Log      *zap.Logger
+	Vars     *expvar.Map
 	// Leave is how long a stopping entry still forwards after it has told the others.
 	Leave time.Duration
 }
@@ -106,7 +108,7 @@
 	e.opts.Vars.Set("packets", packets)
 	e.path, err = NewPath(ctx, PathOptions{
 		Table: e.table, Keys: e.keys, Bind: e.opts.Bind, Packets: e.opts.Packets, Agents: e.opts.Agents,
-		PathMTU: e.opts.PathMTU, Workers: e.opts.Workers, Counters: packets, Log: e.opts.Log,
+		PathMTU: e.opts.PathMTU, Capacity: e.opts.Capacity, Workers: e.opts.Workers, Counters: packets, Log: e.opts.Log,
 	})
 	if err != nil {
 		return err
@@ -317,6 +319,7 @@
 func (e *Entry) applyContracts() {
 	var position uint64
 	var log []zap.Field
+	var numbers []uint32
 	e.journal.View(func(s *journ.State) {
 		position = s.Position()
 		changed := s.ChangedSince(e.applied)
@@ -327,13 +330,18 @@
 		e.mu.Lock()
 		for i := range changed {
 			e.dirty[changed[i].Number] = struct{}{}
+			numbers = append(numbers, changed[i].Number)
 		}
 		e.mu.Unlock()
 	})
 	e.applied = position
-	if log != nil {
-		e.opts.Log.Info("contracts in force", log...)
-		e.path.Open()
+	if log == nil {
+		return
+	}
+	e.opts.Log.Info("contracts in force", log...)
+	e.path.Open()
+	for _, number := range numbers {
+		e.roster.TellAgents(number)
 	}
 }
 
--- a/internal/entry/path.go
+++ b/internal/entry/path.go
@@ -45,6 +45,8 @@
 	Agents []netip.Prefix
 	// PathMTU is the largest IP packet, in bytes, between entries and agents.
 	PathMTU int
+	// Capacity is how many datagrams a second of callers are forwarded at the most; 0 for no limit.
+	Capacity int
 	// Workers is the number of sockets and goroutines for each direction and port.
 	Workers  int
 	Counters *expvar.Map
@@ -177,7 +179,10 @@
 // runDoor moves datagrams from callers to agents.
 func (p *Path) runDoor(door, back *mmsg.Conn) {
 	defer p.wg.Done()
-	router := NewRouter(p.opts.Table, p.opts.Keys, p.opts.Agents, p.opts.PathMTU-ipOverhead-wrap.Size)
+	router := NewRouter(RouterOptions{
+		Table: p.opts.Table, Keys: p.opts.Keys, Agents: p.opts.Agents, MaxSize: p.opts.PathMTU - ipOverhead - wrap.Size,
+		Capacity: p.opts.Capacity / p.opts.Workers,
+	})
 	batch := mmsg.NewBatch(batchSize, wrap.Size)
 	shared := newTally(p.opts.Counters, "caller")
 	var counts counts
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -8,6 +8,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/packet"
 	"github.com/bergamotrun/bergamotrun/internal/place"
+	"github.com/bergamotrun/bergamotrun/internal/share"
 )
 
 // Verdict tells what to do with a caller's datagram, and if it is to be dropped, why.
@@ -51,30 +52,54 @@
 
 // Router decides where datagrams go. It keeps no state of flows. It belongs to one goroutine.
 type Router struct {
-	table   *Table
-	keys    *fleet.Holder
-	agents  []netip.Prefix
-	maxSize int
+	opts    RouterOptions
+	divider *share.Divider
 	decoder connid.Decoder
 	scratch []place.Member
 }
 
-// NewRouter returns a router that sends datagrams of at most maxSize bytes to agents within the prefixes.
-func NewRouter(table *Table, keys *fleet.Holder, agents []netip.Prefix, maxSize int) *Router {
-	return &Router{table: table, keys: keys, agents: agents, maxSize: maxSize}
+// RouterOptions are what a Router works with.
+type RouterOptions struct {
+	Table *Table
+	Keys  *fleet.Holder
+	// Agents are the networks that agents may be in.
+	Agents []netip.Prefix
+	// MaxSize is the largest datagram of a caller in bytes.
+	MaxSize int
+	// Capacity is how many datagrams a second it forwards at the most; 0 for no limit.
+	Capacity int
+}
+
+// NewRouter returns a router.
+func NewRouter(opts RouterOptions) *Router {
+	return &Router{opts: opts, divider: share.New(opts.Capacity)}
 }
 
 // Route decides about a datagram that came in on the service address local at time now.
 func (r *Router) Route(datagram []byte, local netip.AddrPort, now time.Time) Route {
-	ring := r.keys.Ring()
+	route := r.find(datagram, local, now)
+	if route.Verdict > ForwardNew || r.opts.Capacity == 0 {
+		return route
+	}
+	member := route.Service.Member
+	r.divider.SetShare(member.Name, member.Share())
+	if !r.divider.Allow(member.Name, route.Verdict == ForwardNew, now) {
+		return Route{Verdict: DropOverShare, Service: route.Service}
+	}
+	return route
+}
+
+// find decides about a datagram without regard to members' shares.
+func (r *Router) find(datagram []byte, local netip.AddrPort, now time.Time) Route {
+	ring := r.opts.Keys.Ring()
 	if ring == nil {
 		return Route{Verdict: DropNoKeys}
 	}
-	service := r.table.ByAddress(local)
+	service := r.opts.Table.ByAddress(local)
 	if service == nil {
 		return Route{Verdict: DropNoService}
 	}
-	if len(datagram) > r.maxSize {
+	if len(datagram) > r.opts.MaxSize {
 		return Route{Verdict: DropTooLarge, Service: service}
 	}
 	header, err := packet.Parse(datagram, connid.Len)
@@ -111,7 +136,7 @@
 }
 
 func (r *Router) mayReach(agent netip.AddrPort) bool {
-	for _, p := range r.agents {
+	for _, p := range r.opts.Agents {
 		if p.Contains(agent.Addr()) {
 			return true
 		}
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -13,9 +13,10 @@
 
 // Service is what the packet path knows of one service. It is immutable but for the evidence.
 type Service struct {
-	Number  uint32
-	Serial  uint64
-	Member  string
+	Number uint32
+	Serial uint64
+	Member *Member
+	// Share is the contract's share, which is a part of the member's.
 	Share   uint32
 	Address netip.AddrPort
 	Retired bool
@@ -24,6 +25,15 @@
 	evidence []*evidence
 }
 
+// Member is a business with the sum of the shares of its contracts in force.
+type Member struct {
+	Name  string
+	share atomic.Uint32
+}
+
+// Share returns the member's share.
+func (m *Member) Share() uint32 { return m.share.Load() }
+
 // Table maps addresses and service numbers to services for the packet path. Reads take no locks.
 type Table struct {
 	// anyAddress says that a service is found by its port alone, because the entry is behind an address translation.
@@ -31,6 +41,7 @@
 
 	mu       sync.Mutex
 	agents   map[netip.AddrPort]*evidence
+	members  map[string]*Member
 	doors    atomic.Pointer[map[netip.AddrPort]*slot]
 	numbered atomic.Pointer[[]*slot]
 }
@@ -40,7 +51,7 @@
 
 // NewTable returns an empty table. With anyAddress, services are found by port alone.
 func NewTable(anyAddress bool) *Table {
-	t := &Table{anyAddress: anyAddress, agents: make(map[netip.AddrPort]*evidence)}
+	t := &Table{anyAddress: anyAddress, agents: make(map[netip.AddrPort]*evidence), members: make(map[string]*Member)}
 	t.doors.Store(&map[netip.AddrPort]*slot{})
 	t.numbered.Store(&[]*slot{})
 	return t
@@ -86,7 +97,8 @@
 		}
 		changed++
 		slots = grow(slots, r.Number)
-		fresh := fromRecord(r)
+		fresh := t.fromRecord(r)
+		t.moveShare(old, fresh)
 		if old != nil {
 			fresh.members, fresh.evidence = old.members, old.evidence
 		}
@@ -113,17 +125,32 @@
 	return longer
 }
 
-func fromRecord(r *contr.Record) *Service {
+func (t *Table) fromRecord(r *contr.Record) *Service {
+	m := t.members[r.Contract.Member]
+	if m == nil {
+		m = &Member{Name: r.Contract.Member}
+		t.members[m.Name] = m
+	}
 	return &Service{
 		Number:  r.Number,
 		Serial:  r.Serial,
-		Member:  r.Contract.Member,
+		Member:  m,
 		Share:   r.Contract.Share,
 		Address: r.Contract.Address,
 		Retired: r.Retired,
 	}
 }
 
+// moveShare takes the share of a service's former contract from its member, and gives that of the present one.
+func (*Table) moveShare(old, fresh *Service) {
+	if old != nil && !old.Retired {
+		old.Member.share.Add(-old.Share)
+	}
+	if !fresh.Retired {
+		fresh.Member.share.Add(fresh.Share)
+	}
+}
+
 // relist builds the index by address anew.
 func (t *Table) relist(slots []*slot) {
 	doors := make(map[netip.AddrPort]*slot, len(slots))
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -231,7 +231,11 @@
 		deadline = max(deadline, 10*a.work)
 	}
 	id := fmt.Sprintf("%s-%d", a.kind, a.index)
-	path := fmt.Sprintf("/work/%s?ms=%g", a.kind, float64(a.work)/float64(time.Millisecond))
+	segment := a.kind
+	if r.scenario.Work.Unmarked {
+		segment = short
+	}
+	path := fmt.Sprintf("/%s/a?ms=%g", segment, float64(a.work)/float64(time.Millisecond))
 	method, body := http.MethodGet, ""
 	if a.kind == order {
 		method, body = http.MethodPost, "3 pallets"
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -40,6 +40,8 @@
 	// StragglerPart is the part of requests that take StragglerFactor times as long.
 	StragglerPart   float64 `toml:"straggler_part"`
 	StragglerFactor float64 `toml:"straggler_factor"`
+	// Unmarked gives stragglers the same path as short requests, so that nothing tells them apart beforehand.
+	Unmarked bool `toml:"unmarked"`
 	// OrderPart is the part of requests that are not idempotent.
 	OrderPart float64 `toml:"order_part"`
 }
--- a/internal/offer/offer_test.go
+++ b/internal/offer/offer_test.go
@@ -63,8 +63,8 @@
 		got, _ := Decide(own, peers, now, (float64(i)+0.5)/n)
 		counts[got]++
 	}
-	is.Equal(counts[2], 0)              // A peer above the mean gets nothing.
-	is.True(counts[0] > 2*counts[1])    // The idler one gets more.
+	is.Equal(counts[2], 0)           // A peer above the mean gets nothing.
+	is.True(counts[0] > 2*counts[1]) // The idler one gets more.
 	const mean = (0.8 + 0.4 + 0.6 + 0.9) / 4
 	part := 1 - mean/own.Demand + (own.Utilization-mean)/own.Utilization
 	is.True(math.Abs(float64(counts[0]+counts[1])-part*n) < 0.01*n) // Just the excess leaves.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -189,10 +189,43 @@
 	r.mu.Unlock()
 	for service := range changed {
 		r.opts.Changed(service)
+		r.TellAgents(service)
 	}
 	return news
 }
 
+// TellAgents tells the agents of a service that this entry hears that something has changed for them.
+func (r *Roster) TellAgents(service uint32) {
+	r.mu.Lock()
+	var to []netip.AddrPort
+	for _, rec := range r.view.Members(service) {
+		if _, ok := r.heard[rec.Packets]; ok {
+			to = append(to, rec.Packets)
+		}
+	}
+	r.mu.Unlock()
+	for _, agent := range to {
+		ack, control := r.ackFor(agent)
+		_ = ctrl.Send(r.opts.Link, control, ctrl.KindAck, ack)
+	}
+}
+
+// ackFor returns what the agent at an address should know, and its control address.
+func (r *Roster) ackFor(agent netip.AddrPort) (ctrl.Ack, netip.AddrPort) {
+	var ack ctrl.Ack
+	r.mu.Lock()
+	ack.Record, _ = r.view.Get(agent)
+	ack.Members = r.view.ServiceHash(ack.Record.Service)
+	ack.Entry = r.self
+	r.mu.Unlock()
+	r.opts.Journal.View(func(s *journ.State) {
+		c, _ := s.ByNumber(ack.Record.Service)
+		ack.Serial = c.Serial
+		ack.KeySerial = s.KeySerial()
+	})
+	return ack, ack.Record.Control
+}
+
 // contradicts reports whether rec says something newer of this entry than its own record, which only
 // the entry itself may; its version is then raised above that of rec.
 func (r *Roster) contradicts(rec *view.Record) bool {
@@ -227,13 +260,10 @@
 		r.opts.Counters.Add("bad_beat", 1)
 		return
 	}
-	var ack ctrl.Ack
 	known := false
 	r.opts.Journal.View(func(s *journ.State) {
 		c, ok := s.Record(beat.Service)
 		known = ok && c.Number == rec.Service
-		ack.Serial = c.Serial
-		ack.KeySerial = s.KeySerial()
 	})
 	if !known {
 		r.opts.Counters.Add("beat_unknown_service", 1)
@@ -246,10 +276,8 @@
 	} else {
 		r.heard[rec.Packets] = heard{at: r.opts.Now(), serial: beat.Serial}
 	}
-	ack.Record, _ = r.view.Get(rec.Packets)
-	ack.Members = r.view.ServiceHash(rec.Service)
-	ack.Entry = r.self
 	r.mu.Unlock()
+	ack, _ := r.ackFor(rec.Packets)
 	_ = ctrl.Send(r.opts.Link, from, ctrl.KindAck, ack)
 }
 
--- a/internal/roster/serve.go
+++ b/internal/roster/serve.go
@@ -53,6 +53,7 @@
 	defer r.mu.Unlock()
 	if reply.Found {
 		reply.Members = r.view.Members(reply.Record.Number)
+		reply.Gone = r.view.Gone(reply.Record.Number)
 		reply.Hash = r.view.ServiceHash(reply.Record.Number)
 	}
 	reply.Entries = append(reply.Entries, r.self)
--- a/internal/sample/sample.go
+++ b/internal/sample/sample.go
@@ -82,7 +82,9 @@
 	}
 	s := &Server{opts: opts, slots: make(chan struct{}, opts.Slots), ln: ln, runs: make(map[string]int), orders: make(map[string]int)}
 	mux := http.NewServeMux()
-	mux.HandleFunc("/work/", s.serveWork)
+	for _, path := range []string{"/work/", "/short/", "/straggler/"} {
+		mux.HandleFunc(path, s.serveWork)
+	}
 	mux.HandleFunc("/orders", s.serveWork)
 	mux.HandleFunc("/stream", s.serveStream)
 	mux.HandleFunc("/blob", s.serveBlob)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -115,6 +115,17 @@
 // Members returns the records of a service's agents that are not gone, in the order of their addresses.
 func (v *View) Members(service uint32) []Record { return v.pick(v.members[service]) }
 
+// Gone returns the records of a service's agents that have ended in the last two hours.
+func (v *View) Gone(service uint32) []Record {
+	var out []Record
+	for a := range v.ended {
+		if r := v.records[a]; r.State == Gone && r.Service == service && r.Role == Agent {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Entries returns the records of the entries that are not gone, in the order of their addresses.
 func (v *View) Entries() []Record { return v.pick(v.entries) }
 
--- a/pkg/contr/headers.go
+++ b/pkg/contr/headers.go
@@ -8,6 +8,9 @@
 	HeaderTimeout = "Bergamot-Timeout"
 	// HeaderRun tells in an answer that is the system's own what became of the request; see the Run values.
 	HeaderRun = "Bergamot-Run"
+	// HeaderArrival tells "not-run" where this arrival of a request with a ticket certainly has not run,
+	// though it is unknown whether an earlier one has.
+	HeaderArrival = "Bergamot-Arrival"
 	// HeaderReplayed marks an answer that was kept from the request's first arrival.
 	HeaderReplayed = "Bergamot-Replayed"
 	// TicketPath is where a caller gets tickets: one a line, as many as the query parameter n asks for.
--- /dev/null
+++ b/tests/fault_test.go
@@ -0,0 +1,228 @@
+package tests
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bergamotrun/bergamotrun/internal/fabric"
+	"github.com/bergamotrun/bergamotrun/internal/sample"
+)
+
+func TestLossyNetwork(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	defer cancel()
+	c := newCluster(t, 3)
+	desk := c.addService("desk", nil)
+	desk.addTarget()
+	desk.addTarget()
+	c.fabric.SetFaults(fabric.Faults{Drop: 0.03, Duplicate: 0.05, Delay: time.Millisecond, Jitter: 5 * time.Millisecond})
+	l := newLedger()
+	tr := startTraffic(ctx, l, desk, 8, 4, 60)
+	time.Sleep(6 * time.Second)
+	is.Equal(len(tr.end()), 0)
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+func TestEntryCutOffFromCallers(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c := newCluster(t, 3)
+	desk := c.addService("desk", nil)
+	desk.addTarget()
+	desk.addTarget()
+	l := newLedger()
+	tr := startTraffic(ctx, l, desk, 8, 4, 80)
+	for range 2 { // Twice the same fault.
+		time.Sleep(time.Second)
+		c.fabric.Cut(c.entries[1].ip, true)
+		time.Sleep(2 * time.Second)
+		c.fabric.Cut(c.entries[1].ip, false)
+	}
+	is.Equal(len(tr.end()), 0)
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+func TestAgentFrozenAndResumed(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	defer cancel()
+	c := newCluster(t, 2)
+	desk := c.addService("desk", nil)
+	frozen := desk.addTarget()
+	desk.addTarget()
+	l := newLedger()
+	held := desk.caller(8)
+	is.NoErr(l.send(ctx, desk, held, order{http.MethodPost, "/orders?ms=1", "before", "x"}))
+	frozen.signal(syscall.SIGSTOP)
+	desk.awaitMember(frozen, "lost", forceLimit)
+	for i := range 10 { // New callers are served by the other one.
+		is.NoErr(l.send(ctx, desk, desk.caller(8), order{http.MethodPost, "/orders?ms=1", fmt.Sprintf("during-%d", i), "x"}))
+	}
+	frozen.signal(syscall.SIGCONT)
+	desk.awaitMember(frozen, "up", forceLimit) // It contradicts.
+	is.NoErr(l.send(ctx, desk, held, order{http.MethodPost, "/orders?ms=1", "after", "x"}))
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+func TestPeerKilledDuringHandOver(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c := newCluster(t, 2)
+	desk := c.addService("desk", nil)
+	home := desk.addTarget()
+	l := newLedger()
+	cl := desk.caller(1)
+	is.NoErr(l.send(ctx, desk, cl, order{http.MethodPost, "/orders?ms=1", "first", "x"})) // Its flow and tickets are home's.
+	peer := desk.addTarget()
+	desk.awaitMember(peer, "up", forceLimit)
+	home.server.Inject(sample.Faults{Draining: true}) // So that home hands everything over.
+	desk.awaitMember(home, "draining", leaveLimit)
+	await(t, forceLimit, "home hands requests over", func() bool {
+		code, _ := l.once(ctx, desk, cl, order{http.MethodGet, "/work/a?ms=1", "warm", ""})
+		return code == http.StatusOK
+	})
+	outcome := make(chan string, 1)
+	go func() {
+		code, run := l.once(ctx, desk, cl, order{http.MethodPost, "/orders?ms=2000", "cut", "x"})
+		outcome <- fmt.Sprintf("%d %s", code, run)
+	}()
+	await(t, readyLimit, "the order runs at the peer", func() bool { return peer.server.Runs()["cut"] == 1 })
+	peer.kill()
+	is.Equal(<-outcome, "502 unknown") // Told at once, not at the deadline.
+	is.Equal(home.server.Runs()["cut"], 0)
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+func TestNoServerAtAll(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c := newCluster(t, 2)
+	desk := c.addService("desk", nil)
+	only := desk.addTarget()
+	l := newLedger()
+	cl := desk.caller(1)
+	is.NoErr(l.send(ctx, desk, cl, order{http.MethodPost, "/orders?ms=1", "first", "x"}))
+	only.server.Close() // The backend server is gone, its agent isn't.
+	start := time.Now()
+	code, run := l.once(ctx, desk, cl, order{http.MethodPost, "/orders?ms=1", "refused", "x"})
+	is.Equal(code, http.StatusServiceUnavailable)
+	is.Equal(run, "not-run")
+	is.True(time.Since(start) < 2*time.Second) // Not held to its deadline of 5 s.
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+func TestOverloadIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c := newCluster(t, 2)
+	desk := c.addService("desk", nil)
+	desk.addTarget()
+	l := newLedger()
+	cl := desk.caller(1)
+	is.NoErr(l.send(ctx, desk, cl, order{http.MethodPost, "/orders?ms=1", "first", "x"}))
+	const burst = 60 // Four slots and a queue of sixteen.
+	codes := make(chan int, burst)
+	for i := range burst {
+		go func() {
+			code, _ := l.once(ctx, desk, cl, order{http.MethodPost, "/orders?ms=200", fmt.Sprintf("burst-%d", i), "x"})
+			codes <- code
+		}()
+	}
+	counts := map[int]int{}
+	for range burst {
+		counts[<-codes]++
+	}
+	is.Equal(counts[http.StatusOK]+counts[http.StatusServiceUnavailable], burst)
+	is.True(counts[http.StatusOK] >= 16) // What fits is answered.
+	is.True(counts[http.StatusServiceUnavailable] > 0)
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+func TestTicketsOutliveAPlannedStop(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c := newCluster(t, 2)
+	desk := c.addService("desk", nil)
+	leaving := desk.addTarget()
+	l := newLedger()
+	cl := desk.caller(8)
+	is.NoErr(l.send(ctx, desk, cl, order{http.MethodPost, "/orders?ms=1", "first", "x"})) // The caller holds tickets of the leaving agent.
+	desk.addTarget()
+	leaving.signal(syscall.SIGTERM)
+	leaving.awaitEnd(readyLimit)
+	is.NoErr(l.send(ctx, desk, cl, order{http.MethodPost, "/orders?ms=1", "second", "x"}))
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
+// cli runs the program and returns what it printed and its exit code.
+func (c *cluster) cli(args ...string) (string, int) {
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(cmd.Environ(), "BERGAMOTRUN_TOKEN="+testToken, "USER=test")
+	out, _ := cmd.CombinedOutput() // The exit code tells.
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+func TestKeyRotationBreaksNoFlow(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Second)
+	defer cancel()
+	c := newCluster(t, 2)
+	desk := c.addService("desk", nil)
+	desk.addTarget()
+	desk.addTarget()
+	l := newLedger()
+	tr := startTraffic(ctx, l, desk, 6, 3, 60)
+	admin := fmt.Sprintf("http://%s:7002", c.entries[0].ip)
+	out, code := c.cli("key", "add", "-admin", admin, "-why", "rotation", "2")
+	is.Equal(code, 0)
+	is.True(strings.HasPrefix(out, "add key 2: serial "))
+	time.Sleep(2 * time.Second) // The operator waits until the key is in force.
+	_, code = c.cli("key", "use", "-admin", admin, "2")
+	is.Equal(code, 0)
+	time.Sleep(2 * time.Second)
+	for i := range 5 { // New flows use the new key.
+		is.NoErr(l.send(ctx, desk, desk.caller(8), order{http.MethodPost, "/orders?ms=1", fmt.Sprintf("new-%d", i), "x"}))
+	}
+	_, code = c.cli("key", "drop", "-admin", admin, "2")
+	is.Equal(code, 1) // The current one.
+	is.Equal(len(tr.end()), 0)
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
--- /dev/null
+++ b/tests/help_test.go
@@ -0,0 +1,59 @@
+package tests
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/bergamotrun/bergamotrun/internal/kvfake"
+	"github.com/bergamotrun/bergamotrun/pkg/caller"
+)
+
+var (
+	kvHealthy = kvfake.Faults{}
+	kvDown    = kvfake.Faults{Down: true}
+)
+
+// readLines sends a request and returns the lines of its answer.
+func readLines(t *testing.T, c *caller.Client, req *http.Request) []string {
+	t.Helper()
+	resp, err := c.Do(req.Context(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Fields(string(body))
+}
+
+func nextAddress(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(a.Addr(), a.Port()+1) }
+
+// appliedSerial returns the serial of the change that an answer of the API tells.
+func appliedSerial(t *testing.T, answer []byte) uint64 {
+	t.Helper()
+	var a struct{ Applied struct{ Position uint64 } }
+	if err := json.Unmarshal(answer, &a); err != nil || a.Applied.Position == 0 {
+		t.Fatalf("answer %s: %v", answer, err)
+	}
+	return a.Applied.Position
+}
+
+// historyIDs returns the change identifiers of a history, the oldest first.
+func historyIDs(t *testing.T, answer []byte) []string {
+	t.Helper()
+	var entries []struct{ Change struct{ ID string } }
+	if err := json.Unmarshal(answer, &entries); err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, e := range entries {
+		out = append(out, e.Change.ID)
+	}
+	return out
+}
