--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -119,6 +119,9 @@
 	for name, values := range resp.Header {
 		h[name] = values
 	}
+	if c.mayHaveRun && h.Get(contr.HeaderRun) == contr.RunNot {
+		h.Set(contr.HeaderRun, contr.RunUnknown) // True of this attempt, not of the one before.
+	}
 	failed := resp.StatusCode >= http.StatusInternalServerError
 	c.w.WriteHeader(resp.StatusCode)
 	c.w.Flush()
--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -35,6 +35,8 @@
 	deadline   time.Time
 	idempotent bool
 	stream     bool
+	// mayHaveRun says that an attempt at the request may have run, so that it can't be called not run any more.
+	mayHaveRun bool
 	// handover identifies the request among those that its sender handed over; empty for a caller's.
 	handover string
 }
@@ -76,6 +78,9 @@
 	if c.w.wrote {
 		c.cut()
 	}
+	if f.run == contr.RunNot && c.mayHaveRun {
+		f.run = contr.RunUnknown
+	}
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if f.run != "" {
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -185,7 +185,7 @@
 // probePart is the part of its requests that a failing backend server still gets.
 const probePart = 0.1
 
-// tryPeer hands a call over and reports whether it has been answered; otherwise it has not run.
+// tryPeer hands a call over and reports whether it has been answered; otherwise it may be sent elsewhere.
 func (a *Agent) tryPeer(ctx context.Context, c *call, peer netip.AddrPort, why offer.Why) bool {
 	m := modeSpare
 	if why == offer.Away {
@@ -212,6 +212,7 @@
 		a.refuseBusy(c, "no server had room")
 		return true
 	}
+	c.mayHaveRun = c.mayHaveRun || res.fate == fateUnknown
 	a.peers.failed(peer, time.Now())
 	a.log.Info("a peer didn't answer a request", zap.Stringer("peer", peer), zap.String("class", c.class()), zap.String("mode", string(m)),
 		zap.Bool("may_have_run", res.fate == fateUnknown), zap.Error(res.err))
@@ -319,6 +320,7 @@
 	if res.fate == fateAnswered {
 		return
 	}
+	c.mayHaveRun = c.mayHaveRun || res.fate == fateUnknown
 	a.log.Info("the backend server didn't answer a request", zap.Bool("may_have_run", res.fate == fateUnknown), zap.Error(res.err))
 	if c.mode == modeCaller && a.mayRepeat(c, res) {
 		if peer, why := a.anyPeer(); why != offer.Stay && a.tryPeer(ctx, c, peer, why) {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -99,7 +99,7 @@
 			break
 		}
 	}
-	if e.uncertain && e.kind != repeatable {
+	if e.uncertain {
 		return nil, errors.Wrap(ErrUnknown, e.last.Error())
 	}
 	return nil, e.last
--- a/tests/fault_test.go
+++ b/tests/fault_test.go
@@ -106,6 +106,36 @@
 	l.report(t)
 }
 
+// TestCutReadIsNotCalledNotRun is about a request that may be repeated, but can't be for want of servers.
+func TestCutReadIsNotCalledNotRun(t *testing.T) {
+	t.Parallel()
+	proves(t)
+	is := is.New(t)
+	ctx, _, desk, l := startDesk(t, 2)
+	home := desk.addTarget()
+	cl := desk.caller(1)
+	is.NoErr(l.send(ctx, desk, cl, order{http.MethodGet, "/work/a?ms=1", "first", ""})) // Its flow is home's.
+	peer := desk.addTarget()
+	home.server.Inject(sample.Faults{Draining: true}) // So that home hands everything over and runs nothing.
+	desk.awaitMember(home, "draining", leaveLimit)
+	for i := range 30 { // The system may repeat one request in ten.
+		await(t, forceLimit, "home hands requests over", func() bool {
+			code, _ := l.once(ctx, desk, cl, order{http.MethodGet, "/work/a?ms=1", fmt.Sprint("warm-", i), ""})
+			return code == http.StatusOK
+		})
+	}
+	outcome := make(chan string, 1)
+	go func() {
+		code, run := l.once(ctx, desk, cl, order{http.MethodGet, "/work/a?ms=2000", "cut", ""})
+		outcome <- fmt.Sprintf("%d %s", code, run)
+	}()
+	await(t, readyLimit, "the request runs at the peer", func() bool { return peer.server.Runs()["cut"] == 1 })
+	peer.kill()
+	is.Equal(<-outcome, "503 unknown")
+	l.checkRuns(servers(desk)...)
+	l.report(t)
+}
+
 func TestNoServerAtAll(t *testing.T) {
 	t.Parallel()
 	proves(t)
