--- /dev/null
+++ b/cmd/deliver.go
@@ -0,0 +1,73 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/deliv"
+	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/sett"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+	"github.com/bergamotrun/bergamotrun/platform"
+)
+
+// deliverLinger is how long a stopping agent still carries packets: entries hear of it within milliseconds.
+const deliverLinger = 150 * time.Millisecond
+
+func deliverCommand() *command {
+	return &command{
+		name:    "deliver",
+		summary: "run the agent beside a backend server, for opaque flows",
+		usage: "Usage: bergamotrun deliver -config FILE\n\nCarries packets between callers and the backend server beside it until " +
+			"a signal; it then leaves gracefully.\n\nExample: bergamotrun deliver -config conf/deliver.toml\n\n",
+		run: runDeliver,
+	}
+}
+
+func runDeliver(ctx context.Context, inv *invocation) error {
+	file := inv.flags.String("config", "deliver.toml", "`file` with the settings")
+	if err := inv.parse(0, 0); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(*file)
+	if err != nil {
+		return errors.Wrap(err, "read settings")
+	}
+	s, err := sett.ParseDeliver(*file, text)
+	if err != nil {
+		return err
+	}
+	p, err := newProcess(ctx, inv.stdout, "deliver", s.OpaqueCommon)
+	if err != nil {
+		return err
+	}
+	outbound, err := listenUDP(ctx, s.Outbound)
+	if err != nil {
+		return err
+	}
+	var a *deliv.Agent
+	err = p.join(ctx, processOptions{
+		role: view.Agent, service: s.Service, load: func() ctrl.ServerLoad { return a.Load() },
+		changed: func(t *route.Table) { a.Configure(t) },
+	})
+	if err != nil {
+		return err
+	}
+	a = deliv.New(deliv.Options{
+		Hops: p.hops, Outbound: outbound, Clients: p.clients, Server: s.Server, Service: s.Service, Interval: s.Heartbeat.Std(),
+		FirstStart: s.First, Self: s.Hops, Format: platform.Packets{}, Members: p.node,
+		Log: p.log, Flows: p.flows, Vars: p.vars,
+	})
+	return p.close(p.serve(ctx, a, serveOptions{
+		file: *file, text: text, linger: deliverLinger,
+		announce: platform.AnnounceHandler(a, p.log), announceOn: s.Announce,
+		parse: func(f string, t []byte) (sett.OpaqueCommon, error) {
+			s, err := sett.ParseDeliver(f, t)
+			return s.OpaqueCommon, err
+		},
+	}))
+}
--- /dev/null
+++ b/internal/ctrl/state.go
@@ -0,0 +1,81 @@
+package ctrl
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+)
+
+// The kinds of datagram between processes that carry opaque flows.
+const (
+	KindState Kind = iota + 16
+	KindRoll
+)
+
+// State is the heartbeat of a process that carries opaque flows.
+type State struct {
+	Record view.Record `cbor:"1,keyasint"`
+	// Server is the load of an agent's backend server; nil from an entry.
+	Server *ServerLoad `cbor:"2,keyasint,omitempty"`
+	// Version is the version of the sender's configuration; 0 when it has none.
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago somebody read that version from the store as the newest.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Hello asks the receiver for the processes that it knows.
+	Hello bool `cbor:"5,keyasint,omitempty"`
+}
+
+// ServerLoad is the load of a backend server, as its agent sees it.
+type ServerLoad struct {
+	// Ready says that the server takes new flows.
+	Ready   bool `cbor:"1,keyasint,omitempty"`
+	Pending int  `cbor:"2,keyasint,omitempty"`
+	Flows   int  `cbor:"3,keyasint,omitempty"`
+	Slots   int  `cbor:"4,keyasint,omitempty"`
+	// Service is the mean service time.
+	Service time.Duration `cbor:"5,keyasint,omitempty"`
+	// First and Repeated are requests a thousand seconds: those that opened a flow, and the others.
+	First    int  `cbor:"6,keyasint,omitempty"`
+	Repeated int  `cbor:"7,keyasint,omitempty"`
+	Cold     bool `cbor:"8,keyasint,omitempty"`
+}
+
+// Roll tells another process of processes.
+type Roll struct {
+	Records []view.Record `cbor:"1,keyasint"`
+}
+
+// RollMost is how many records fit into one Roll.
+const RollMost = 12
+
+// TableArgs asks a process for its configuration.
+type TableArgs struct{}
+
+// TableReply holds a configuration.
+type TableReply struct{ Table route.Table }
+
+// Broadcast sends msg to many processes, encoded once. It returns the first error; the others are counted.
+func Broadcast[T any](l *Link, to []netip.AddrPort, kind Kind, msg T) error {
+	b, err := Encode(l.codec, kind, msg)
+	if err != nil {
+		l.counters.Add("encode_failed", 1)
+		return err
+	}
+	var first error
+	for _, addr := range to {
+		if _, err := l.conn.WriteToUDPAddrPort(b, addr); err != nil {
+			l.counters.Add("send_failed", 1)
+			if first == nil {
+				first = errors.Wrapf(err, "ctrl: send to %s", addr)
+			}
+			continue
+		}
+		l.counters.Add("messages_out", 1)
+		l.counters.Add("bytes_out", int64(len(b)))
+	}
+	return first
+}
--- /dev/null
+++ b/internal/memb/member.go
@@ -0,0 +1,106 @@
+package memb
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/pick"
+	"github.com/bergamotrun/bergamotrun/internal/seek"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+)
+
+// Short returns the number of a service in records of processes.
+func Short(service uint64) uint32 { return uint32(service) }
+
+// Members returns a service's agents as candidates for a new flow.
+func (n *Node) Members(service uint64) []pick.Member {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	records := n.view.Members(Short(service))
+	out := make([]pick.Member, 0, len(records))
+	for i := range records {
+		r := &records[i]
+		p := n.peers[r.Packets]
+		if p == nil {
+			continue
+		}
+		out = append(out, pick.Member{
+			Agent: r.Packets,
+			Near:  r.Domain == n.self.Domain,
+			Ready: r.State == view.Up && p.tells && !p.silent && p.load.Ready,
+			Load:  toLoad(&p.load),
+			Age:   now.Sub(p.heard),
+			Sent:  p.sent,
+		})
+	}
+	return out
+}
+
+func toLoad(l *ctrl.ServerLoad) pick.Load {
+	const thousand = 1000
+	return pick.Load{
+		Pending: l.Pending, Flows: l.Flows, Slots: l.Slots, Service: l.Service,
+		First: float64(l.First) / thousand, Repeated: float64(l.Repeated) / thousand, Cold: l.Cold,
+	}
+}
+
+// Sent notes that a new flow was sent to an agent.
+func (n *Node) Sent(agent netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.peers[agent]; p != nil {
+		p.sent++
+	}
+}
+
+// Holders returns the agents of services that may hold a flow.
+func (n *Node) Holders(services []uint64) []seek.Candidate {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []seek.Candidate
+	for _, s := range services {
+		for _, r := range n.view.Members(Short(s)) {
+			p := n.peers[r.Packets]
+			if p == nil {
+				continue // Lost for long.
+			}
+			out = append(out, seek.Candidate{Agent: r.Packets, Silent: n.dead(p, now)})
+		}
+	}
+	return out
+}
+
+// dead reports whether a process counts as ended without notice.
+func (n *Node) dead(p *peer, now time.Time) bool {
+	return p.silent && now.Sub(p.heard) > silentAfter && (p.away.IsZero() || now.Sub(p.away) > plannedLapse)
+}
+
+// Dead reports whether an agent counts as ended without notice, or is no longer known.
+func (n *Node) Dead(agent netip.AddrPort) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.peers[agent]
+	return p == nil || n.dead(p, time.Now())
+}
+
+// Hears reports whether this process hears most of the others, so that the silence of one says something of that one.
+func (n *Node) Hears() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	silent := 0
+	for _, p := range n.peers {
+		if p.silent || !p.tells {
+			silent++
+		}
+	}
+	return len(n.peers) > 0 && silent*2 < len(n.peers)
+}
+
+func (n *Node) known() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.peers)
+}
--- /dev/null
+++ b/internal/pick/pick.go
@@ -0,0 +1,189 @@
+// Package pick chooses the backend server of a new flow by the load that agents last told.
+//
+// It answers two patterns. A flow that carries many requests stays where it was opened, so the choice
+// levels the utilization that all open flows will bring: flows times requests a second on each times the
+// server's service time. A flow that carries one request is over soon, so the choice is the shortest
+// expected time until its answer begins. Either way a server in the entry's own failure domain wins while the
+// difference is small against the route's objective, since bytes between failure domains are dear.
+//
+// The package is pure, and a choice costs one pass over the members.
+package pick
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+const (
+	// reportHalf is how fast a told number of pending requests loses its meaning: about two service times.
+	reportHalf = 60 * time.Millisecond
+	// calm is the expected utilization up to which long flows stay in their failure domain whatever the others have:
+	// queueing at four slots is still short there.
+	calm = 0.55
+	// farFactor is how much less utilized a server of another failure domain must be to get a long flow.
+	farFactor = 1.35
+	// farPart is the part of the route's objective that a far server must gain to get a single request.
+	farPart = 0.12
+	// queueWeight is the part of a service time that each request in progress adds below full slots.
+	queueWeight = 0.5
+	// coldFactor is how much slower a server is taken to be right after its start.
+	coldFactor = 1.5
+	// defaultService is the service time of servers of which nobody knows one yet.
+	defaultService = 25 * time.Millisecond
+	// defaultPerFlow is the request rate of a long flow, in requests a second, before one is known.
+	defaultPerFlow = 0.5
+)
+
+// Member is an agent with the load of its backend server as last told.
+type Member struct {
+	Agent netip.AddrPort
+	// Near says that the agent is in the chooser's failure domain.
+	Near bool
+	// Ready says that the agent takes new flows, as far as is known.
+	Ready bool
+	Load  Load
+	// Age is how old the load is.
+	Age time.Duration
+	// Sent is how many new flows were sent to the agent since its load was told.
+	Sent int
+}
+
+// Load is a backend server's load as its agent tells it.
+type Load struct {
+	Pending int
+	Flows   int
+	Slots   int
+	// Service is the mean service time; 0 when unknown.
+	Service time.Duration
+	// First and Repeated are the requests a second that opened a flow, and the others.
+	First, Repeated float64
+	Cold            bool
+}
+
+// Flow is the new flow.
+type Flow struct {
+	// Hash breaks ties, so that entries with the same knowledge spread their flows.
+	Hash uint64
+	// Long says that flows of the route carry many requests.
+	Long bool
+	// Objective is the latency that callers of the route expect.
+	Objective time.Duration
+	// Avoid is an agent that has left an earlier copy of the opening packet unanswered.
+	Avoid netip.AddrPort
+}
+
+// Choice holds the indexes of the best member and of the one that is asked when the first refuses; -1 for none.
+type Choice struct{ First, Second int }
+
+// Choose returns the members that shall get a new flow.
+func Choose(f Flow, members []Member) Choice {
+	s := summarize(members)
+	first := best(f, members, s, -1)
+	if first < 0 {
+		return Choice{First: -1, Second: -1}
+	}
+	return Choice{First: first, Second: best(f, members, s, first)}
+}
+
+// summary holds what the members have in common.
+type summary struct {
+	service time.Duration
+	perFlow float64
+}
+
+func summarize(members []Member) summary {
+	var service time.Duration
+	known, flows, repeated := 0, 0, 0.0
+	for i := range members {
+		l := &members[i].Load
+		if l.Service > 0 {
+			service += l.Service
+			known++
+		}
+		flows += l.Flows
+		repeated += l.Repeated
+	}
+	s := summary{service: defaultService, perFlow: defaultPerFlow}
+	if known > 0 {
+		s.service = service / time.Duration(known)
+	}
+	if flows > 0 && repeated > 0 {
+		s.perFlow = repeated / float64(flows)
+	}
+	return s
+}
+
+// best returns the best member but without, taking the flow's Avoid and members that aren't ready last.
+func best(f Flow, members []Member, s summary, without int) int {
+	found, foundCost := -1, math.Inf(1)
+	for i := range members {
+		if i == without || !members[i].Ready {
+			continue
+		}
+		cost := f.cost(&members[i], s) * (1 + jitter(f.Hash, i))
+		if members[i].Agent == f.Avoid {
+			cost += math.MaxFloat32
+		}
+		if cost < foundCost {
+			found, foundCost = i, cost
+		}
+	}
+	return found
+}
+
+// jitter returns a number below 0.02 by which entries that know the same choose differently among equals.
+func jitter(hash uint64, i int) float64 {
+	const part = 0.02
+	h := (hash + uint64(i)*0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9
+	return part * float64(h>>11) / (1 << 53)
+}
+
+func (f Flow) cost(m *Member, s summary) float64 {
+	if f.Long {
+		return f.longCost(m, s)
+	}
+	return f.shortCost(m, s)
+}
+
+// longCost is the utilization that the member's server can expect with one more long flow.
+func (f Flow) longCost(m *Member, s summary) float64 {
+	l := &m.Load
+	demand := s.perFlow*float64(l.Flows+m.Sent+1) + l.First
+	u := demand * l.service(s).Seconds() / l.slots()
+	if m.Near {
+		if u < calm {
+			u /= 1 + calm - u // Keeps the order among near servers and puts them before far ones.
+			return u / farFactor
+		}
+		return u
+	}
+	return u * farFactor
+}
+
+// shortCost is the expected time, in seconds, until the answer to a single request begins.
+func (f Flow) shortCost(m *Member, s summary) float64 {
+	l := &m.Load
+	service := l.service(s).Seconds()
+	expected := (s.perFlow*float64(l.Flows) + l.First) * service
+	fresh := math.Exp2(-float64(m.Age) / float64(reportHalf))
+	pending := float64(l.Pending)*fresh + expected*(1-fresh) + float64(m.Sent)
+	cost := service * (1 + queueWeight*pending/l.slots() + max(0, pending+1-l.slots())/l.slots())
+	if !m.Near {
+		cost += farPart * f.Objective.Seconds()
+	}
+	return cost
+}
+
+func (l *Load) service(s summary) time.Duration {
+	service := l.Service
+	if service == 0 {
+		service = s.service
+	}
+	if l.Cold {
+		return time.Duration(coldFactor * float64(service))
+	}
+	return service
+}
+
+func (l *Load) slots() float64 { return float64(max(l.Slots, 1)) }
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -96,3 +96,6 @@
 	z = (z ^ z>>27) * 0x94D049BB133111EB
 	return z ^ z>>31
 }
+
+// Weight returns an agent's place in a pseudorandom order that all processes share; seed sets orders apart.
+func Weight(seed uint64, agent netip.AddrPort) uint64 { return mix(seed, agent) }
--- /dev/null
+++ b/internal/relay/search.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/hop"
+	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/seek"
+)
+
+const (
+	// maxSearches bounds the flows that are looked for at the same time; the packets of others are dropped and come again.
+	maxSearches = 4096
+	// maxKept bounds the packets that are kept for a flow that is looked for.
+	maxKept = 4
+	// stepWait is the time between two looks at a search.
+	stepWait = 13 * time.Millisecond
+	// searchLife is how long a search without a result stands; its verdicts hold that long.
+	searchLife = 5 * time.Second
+)
+
+// search is a flow that is looked for.
+type search struct {
+	*seek.Search
+	started time.Time
+	service uint64
+	route   string
+	// head is that of the newest packet.
+	head flow.Head
+	// kept are packets, each behind room for a hop head.
+	kept  [][]byte
+	timer *time.Timer
+	// idle says that the search waits for the client's next packet.
+	idle bool
+}
+
+// seek looks for the agent that holds a flow.
+func (r *Relay) seek(key flow.Key, h flow.Head, rt *route.Route, b []byte, now time.Time) {
+	s := r.searches[key]
+	if s == nil {
+		if len(r.searches) >= maxSearches {
+			r.counts.Add("search_dropped", 1)
+			return
+		}
+		services := make([]uint64, 0, len(rt.Targets))
+		for _, t := range rt.Targets {
+			services = append(services, route.Number(t.Service))
+		}
+		s = &search{Search: seek.New(r.opts.Members.Holders(services), now), started: now, route: rt.Name, service: services[0], idle: true}
+		r.searches[key] = s
+		r.counts.Add("searched", 1)
+	}
+	s.head = h
+	s.keep(b)
+	if s.idle {
+		s.idle = false
+		s.Retry(now)
+		r.ask(key, s)
+		r.step(key, s, now)
+	}
+}
+
+// keep stores a packet; the newest replaces the last one when there is no room.
+func (s *search) keep(b []byte) {
+	packet := append([]byte(nil), b...)
+	if len(s.kept) < maxKept {
+		s.kept = append(s.kept, packet)
+		return
+	}
+	s.kept[maxKept-1] = packet
+}
+
+func (r *Relay) ask(key flow.Key, s *search) {
+	head := hop.Head{Kind: hop.Ask, Entry: r.opts.Self}
+	var room [hop.Size + flow.KeySize]byte
+	b := head.PutKey(room[:0], key)
+	for _, a := range s.Unanswered() {
+		if _, err := r.opts.Hops.WriteToUDPAddrPort(b, a); err != nil {
+			r.counts.Add("send_failed", 1)
+		}
+	}
+}
+
+// step takes the search's next step, and comes back later when that is to wait.
+func (r *Relay) step(key flow.Key, s *search, now time.Time) {
+	step := s.Next(now)
+	switch step.Action {
+	case seek.Wait:
+		r.later(key, s)
+	case seek.Deliver:
+		r.found(key, s, step.Agents[0], now)
+	case seek.Try:
+		r.counts.Add("tried", int64(len(step.Agents)))
+		r.opts.Flows.Info("flow tried at servers that may hold it", zap.Stringer("flow", key), zap.Int("servers", len(step.Agents)))
+		for _, a := range step.Agents {
+			r.send(hop.Head{Kind: hop.Probe, Version: versionOf(r.opts.Members.Table()), Service: s.service, Entry: r.opts.Self}, s.kept[0], a)
+		}
+		r.later(key, s)
+	case seek.Lost:
+		r.lost(key, s, now)
+	case seek.Fail:
+		r.counts.Add("search_failed", 1)
+		s.kept, s.idle = nil, true
+		if now.Sub(s.started) > searchLife {
+			delete(r.searches, key)
+		}
+	}
+}
+
+func (r *Relay) later(key flow.Key, s *search) {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.timer = time.AfterFunc(stepWait, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.searches[key] == s && !s.idle {
+			r.step(key, s, time.Now())
+		}
+	})
+}
+
+// found gives the kept packets to the agent that holds the flow.
+func (r *Relay) found(key flow.Key, s *search, agent netip.AddrPort, now time.Time) {
+	r.opts.Flows.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.started)))
+	r.counts.Add("found", 1)
+	r.flows.Put(key, placed{agent: agent, service: s.service, route: s.route}, now)
+	for _, b := range s.kept {
+		r.send(hop.Head{Kind: hop.Carry, Version: versionOf(r.opts.Members.Table()), Service: s.service, Entry: r.opts.Self}, b, agent)
+	}
+	r.drop(key, s)
+}
+
+// lost ends a flow that nobody holds, so that its client can come back at once.
+func (r *Relay) lost(key flow.Key, s *search, now time.Time) {
+	sure := r.opts.Members.Hears()
+	r.opts.Flows.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", sure),
+		zap.Duration("took", now.Sub(s.started)), zap.Bool("fin", s.head.Fin), zap.Int("len", s.head.Len))
+	r.counts.Add("lost", 1)
+	if sure && !s.head.Rst {
+		r.reset(s.head)
+	}
+	r.flows.Delete(key)
+	r.drop(key, s)
+}
+
+func (r *Relay) drop(key flow.Key, s *search) {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	delete(r.searches, key)
+}
+
+func (r *Relay) serveHops() error {
+	buf := make([]byte, hop.Size+hop.MaxPacket)
+	for {
+		n, from, err := r.opts.Hops.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			r.counts.Add("hop_read_failed", 1)
+			continue
+		}
+		r.fromHop(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+	}
+}
+
+// fromHop handles what an agent says of a flow.
+func (r *Relay) fromHop(from netip.AddrPort, b []byte) {
+	head, body, err := hop.Parse(b)
+	if err != nil {
+		r.counts.Add("hop_damaged", 1)
+		return
+	}
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch head.Kind {
+	case hop.Answer:
+		r.answered(from, head.Verdict, body, now)
+	case hop.Claim:
+		r.claimed(from, head.Service, body, now)
+	case hop.Return:
+		r.returned(from, b, body, now)
+	default:
+		r.counts.Add("hop_unexpected", 1)
+	}
+}
+
+func (r *Relay) answered(from netip.AddrPort, v seek.Verdict, body []byte, now time.Time) {
+	key, ok := hop.Key(body)
+	s := r.searches[key]
+	if !ok || s == nil {
+		return
+	}
+	s.Answer(from, v)
+	if !s.idle {
+		r.step(key, s, now)
+	}
+}
+
+// claimed notes that an agent holds a flow.
+func (r *Relay) claimed(from netip.AddrPort, service uint64, body []byte, now time.Time) {
+	key, ok := hop.Key(body)
+	if !ok {
+		return
+	}
+	if s := r.searches[key]; s != nil {
+		s.Answer(from, seek.Held)
+		if !s.idle {
+			r.step(key, s, now)
+		}
+	}
+	if f := r.flows.Get(key, now); f != nil {
+		f.agent, f.service = from, service
+	}
+	r.counts.Add("claimed", 1)
+}
+
+// returned looks for the holder of a packet that an agent gave back.
+func (r *Relay) returned(from netip.AddrPort, b, body []byte, now time.Time) {
+	h, ok := r.opts.Format.Parse(body)
+	if !ok {
+		r.counts.Add("hop_damaged", 1)
+		return
+	}
+	key := h.FromClient()
+	r.counts.Add("returned", 1)
+	if f := r.flows.Peek(key); f != nil && f.agent == from {
+		r.flows.Delete(key)
+	}
+	if s := r.searches[key]; s != nil {
+		s.Answer(from, seek.Denied)
+		if !s.idle {
+			r.step(key, s, now)
+		}
+		return
+	}
+	rt := r.opts.Members.Table().Lookup(h.Dst)
+	if rt == nil {
+		return
+	}
+	r.seek(key, h, rt, b, now)
+	if s := r.searches[key]; s != nil {
+		s.Answer(from, seek.Denied)
+	}
+}
--- /dev/null
+++ b/internal/server/announce.go
@@ -0,0 +1,133 @@
+// Package server holds what an agent knows of the backend server beside it: what the server announces of
+// itself, and what its packets show. The package is pure: times come in as arguments.
+package server
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Announcement is what a backend server says of itself in a heartbeat.
+type Announcement struct {
+	ID      string
+	Service string
+	Address netip.AddrPort
+	Domain  string
+	// Release is the version of the server's software.
+	Release string
+	// Slots is how many requests the server works on at the same time.
+	Slots    int
+	Draining bool
+	// Cold is how much longer the server stays slow after its start.
+	Cold time.Duration
+	// Sequence grows with each heartbeat of one start of the server.
+	Sequence uint64
+	// Born is when the server started, by its own clock; zero where it doesn't say.
+	Born time.Time
+}
+
+// Errors that Announce returns.
+var (
+	ErrAddress = errors.New("server: announcement is of another address")
+	ErrService = errors.New("server: announcement is of another service")
+	ErrStale   = errors.New("server: announcement is of an earlier start")
+)
+
+// Change tells what an announcement changed.
+type Change uint8
+
+// The changes by an announcement.
+const (
+	// Same changes nothing but the time of the last heartbeat.
+	Same Change = iota
+	// Started is the first heartbeat of a start of the server.
+	Started
+	// Drains says that the server begins to drain.
+	Drains
+	// Left says that the server withdrew.
+	Left
+)
+
+// String returns the change's name.
+func (c Change) String() string {
+	switch c {
+	case Started:
+		return "started"
+	case Drains:
+		return "draining"
+	case Left:
+		return "left"
+	default:
+		return "same"
+	}
+}
+
+// Announce takes an announcement over. It returns an error when the announcement is not of this server, or is of
+// a start that is known to be over; the state is unchanged then. A heartbeat that was overtaken changes nothing.
+func (s *Server) Announce(a Announcement, now time.Time) (Change, error) {
+	if a.Address != s.opts.Address {
+		return Same, ErrAddress
+	}
+	if s.opts.Service != "" && a.Service != s.opts.Service {
+		return Same, ErrService
+	}
+	if s.known && a.ID == s.last.ID && a.Born.Equal(s.last.Born) {
+		return s.renew(a, now), nil
+	}
+	if s.known && a.Born.Before(s.last.Born) && !s.lapsed(now) {
+		return Same, ErrStale
+	}
+	s.restart(now)
+	s.take(a, now)
+	return Started, nil
+}
+
+// renew takes a heartbeat of the known start over; draining and leaving are never taken back.
+func (s *Server) renew(a Announcement, now time.Time) Change {
+	if s.gone || a.Sequence <= s.last.Sequence {
+		return Same
+	}
+	change := Same
+	switch {
+	case s.last.Draining:
+		a.Draining = true
+	case a.Draining:
+		change = Drains
+	}
+	s.take(a, now)
+	return change
+}
+
+func (s *Server) take(a Announcement, now time.Time) {
+	s.last, s.known, s.beat = a, true, now
+	s.coldUntil = now.Add(a.Cold)
+}
+
+// lapsed reports whether the known start has missed so many heartbeats that one with an earlier birth may follow
+// it: the server's clock was stepped between the two.
+func (s *Server) lapsed(now time.Time) bool {
+	return s.gone || now.Sub(s.beat) > missedBeats*s.opts.Interval
+}
+
+// restart forgets what a former start of the server has shown.
+func (s *Server) restart(now time.Time) {
+	s.starts++
+	s.gone = false
+	s.pending = 0
+	s.opens = 0
+	s.heard = now
+}
+
+// Withdraw notes that the server id leaves for good. It reports whether that is this start of the server.
+func (s *Server) Withdraw(id string) bool {
+	if !s.known || s.last.ID != id {
+		return false
+	}
+	s.gone = true
+	return true
+}
+
+// Last returns the newest announcement; ok is false before the first one.
+func (s *Server) Last() (a Announcement, ok bool) { return s.last, s.known }
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,193 @@
+package server
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+const (
+	// missedBeats is after how many heartbeat intervals of silence a server is taken for dead: two may be lost.
+	missedBeats = 3
+	// openWait is how long a server may leave an opening packet unanswered; it answers within a millisecond
+	// when it works, and the margin covers a full processor.
+	openWait = 120 * time.Millisecond
+	// openStrikes is how many unanswered opening packets in a row show that a server doesn't answer.
+	openStrikes = 2
+	// rateWindow is the time constant of the request rates: long against a request, short against a wave.
+	rateWindow = 2 * time.Second
+	// serviceWeight is the weight of a new sample in the mean service time: some 20 requests.
+	serviceWeight = 0.05
+	// trustLapse is how long a health answer stands for a heartbeat after the agent has started.
+	trustLapse = 5 * time.Second
+)
+
+// Options are the fixed facts of a backend server.
+type Options struct {
+	// Address is where the server takes packets.
+	Address netip.AddrPort
+	// Service is the service that the server must announce; any when empty.
+	Service string
+	// Interval is the time between the server's heartbeats.
+	Interval time.Duration
+}
+
+// Server is what is known of the backend server. Its owner serializes access.
+type Server struct {
+	opts Options
+
+	known     bool
+	gone      bool
+	starts    int
+	last      Announcement
+	beat      time.Time
+	coldUntil time.Time
+	// vouched is until when a health answer stands for the first heartbeat.
+	vouched time.Time
+
+	heard    time.Time
+	opens    int
+	opened   time.Time
+	pending  int
+	mean     time.Duration
+	first    rate
+	repeated rate
+}
+
+// New returns a server of which nothing is known.
+func New(opts Options) *Server { return &Server{opts: opts} }
+
+// Vouch notes that the server answered a health check before its first heartbeat came.
+func (s *Server) Vouch(now time.Time) { s.vouched = now.Add(trustLapse) }
+
+// Vouched reports whether the server's state is still unknown, so that a health check would help.
+func (s *Server) Vouched(now time.Time) bool { return s.known || now.Before(s.vouched) }
+
+// Resume moves what is timed by silence past a time in which the agent itself did not run.
+func (s *Server) Resume(gap time.Duration) {
+	s.beat = s.beat.Add(gap)
+	s.heard = s.heard.Add(gap)
+	s.opened = s.opened.Add(gap)
+}
+
+// Reason tells why a server takes no new flow.
+type Reason string
+
+// The reasons; None means that it takes new flows.
+const (
+	None     Reason = ""
+	Unknown  Reason = "no_heartbeat_yet"
+	Draining Reason = "draining"
+	Gone     Reason = "left"
+	Silent   Reason = "heartbeats_missing"
+	Mute     Reason = "opens_unanswered"
+	Foreign  Reason = "other_service"
+)
+
+// Refuses returns why the server takes no new flow now, or None.
+func (s *Server) Refuses(now time.Time) Reason {
+	switch {
+	case !s.known && !now.Before(s.vouched):
+		return Unknown
+	case s.gone:
+		return Gone
+	case s.known && s.last.Draining:
+		return Draining
+	case s.known && now.Sub(s.beat) > missedBeats*s.opts.Interval && now.Sub(s.heard) > s.opts.Interval:
+		return Silent
+	case s.opens >= openStrikes && now.Sub(s.opened) > openWait:
+		return Mute
+	}
+	return None
+}
+
+// Dead reports whether the server has certainly stopped: it left, or neither beats nor packets came for long.
+func (s *Server) Dead(now time.Time) bool {
+	if !s.known {
+		return false
+	}
+	lapse := (missedBeats + 1) * s.opts.Interval
+	return s.gone || (now.Sub(s.beat) > lapse && now.Sub(s.heard) > lapse)
+}
+
+// Starts returns how many starts of the server are known; flows of an earlier start are lost.
+func (s *Server) Starts() int { return s.starts }
+
+// Heard notes a packet of the server's own.
+func (s *Server) Heard(now time.Time) {
+	s.heard = now
+	s.opens = 0
+}
+
+// Opening notes that an opening packet was delivered.
+func (s *Server) Opening(now time.Time) {
+	if s.opens == 0 {
+		s.opened = now
+	}
+	s.opens++
+}
+
+// Begin notes that a request was delivered; repeat says that its flow carried others before. It returns the
+// number of requests that the server has, this one included.
+func (s *Server) Begin(repeat bool, now time.Time) int {
+	s.pending++
+	if repeat {
+		s.repeated.add(now)
+	} else {
+		s.first.add(now)
+	}
+	return s.pending
+}
+
+// End notes that the answer to a request began after took; among is what Begin returned for it.
+func (s *Server) End(took time.Duration, among int) {
+	s.Drop()
+	if among > s.Slots() {
+		return
+	}
+	if s.mean == 0 {
+		s.mean = took
+		return
+	}
+	s.mean += time.Duration(serviceWeight * float64(took-s.mean))
+}
+
+// Drop notes that a request ended without an answer.
+func (s *Server) Drop() { s.pending = max(0, s.pending-1) }
+
+// Pending returns the number of requests that wait for an answer.
+func (s *Server) Pending() int { return s.pending }
+
+// Slots returns how many requests the server works on at the same time.
+func (s *Server) Slots() int {
+	if s.known && s.last.Slots > 0 {
+		return s.last.Slots
+	}
+	return 1
+}
+
+// Mean returns the mean service time of requests that found a free slot; 0 when none was seen.
+func (s *Server) Mean() time.Duration { return s.mean }
+
+// Rates returns the requests a second that were the first of their flow, and the others.
+func (s *Server) Rates(now time.Time) (first, repeated float64) {
+	return s.first.at(now), s.repeated.at(now)
+}
+
+// Cold reports whether the server is still slow after its start.
+func (s *Server) Cold(now time.Time) bool { return now.Before(s.coldUntil) }
+
+// rate is an exponentially weighted rate of events.
+type rate struct {
+	perSecond float64
+	since     time.Time
+}
+
+func (r *rate) add(now time.Time) {
+	r.perSecond = r.at(now) + 1/rateWindow.Seconds()
+	r.since = now
+}
+
+func (r *rate) at(now time.Time) float64 {
+	return r.perSecond * math.Exp(-now.Sub(r.since).Seconds()/rateWindow.Seconds())
+}
