--- a/internal/memb/member.go
+++ b/internal/memb/member.go
@@ -73,6 +73,25 @@
 	return out
 }
 
+// Everyone returns all agents, whatever their service, as possible holders of a flow; ok is false when they are more
+// than most.
+func (n *Node) Everyone(most int) (all []seek.Candidate, ok bool) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for a, p := range n.peers {
+		r, known := n.view.Get(a)
+		if !known || r.Role != view.Agent || r.State == view.Gone {
+			continue
+		}
+		if len(all) == most {
+			return nil, false
+		}
+		all = append(all, seek.Candidate{Agent: a, Silent: n.dead(p, now)})
+	}
+	return all, true
+}
+
 // dead reports whether a process counts as ended without notice.
 func (n *Node) dead(p *peer, now time.Time) bool {
 	return p.silent && now.Sub(p.heard) > silentAfter && (p.away.IsZero() || now.Sub(p.away) > plannedLapse)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,6 +56,7 @@
 	Refresh()
 	Members(service uint64) []pick.Member
 	Holders(services []uint64) []seek.Candidate
+	Everyone(most int) (all []seek.Candidate, ok bool)
 	Sent(agent netip.AddrPort)
 	Dead(agent netip.AddrPort) bool
 	Hears() bool
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -21,6 +21,9 @@
 	maxKept = 4
 	// stepWait is the time between two looks at a search.
 	stepWait = 13 * time.Millisecond
+	// maxWide is how many agents are asked at the most when those of the route's services deny a flow; in larger
+	// deployments such a flow is not reset.
+	maxWide = 256
 	// searchLife is how long a search without a result stands; its verdicts hold that long.
 	searchLife = 5 * time.Second
 )
@@ -36,6 +39,8 @@
 	// kept are packets, each behind room for a hop head.
 	kept  [][]byte
 	timer *time.Timer
+	// wide says that agents of all services are asked.
+	wide bool
 	// idle says that the search waits for the client's next packet.
 	idle bool
 }
@@ -103,13 +108,35 @@
 		}
 		r.later(key, s)
 	case seek.Lost:
+		if !s.wide {
+			r.widen(key, s, now)
+			return
+		}
 		r.lost(key, s, now)
 	case seek.Fail:
-		r.counts.Add("search_failed", 1)
-		s.kept, s.idle = nil, true
-		if now.Sub(s.started) > searchLife {
-			delete(r.searches, key)
-		}
+		r.fail(key, s, now)
+	}
+}
+
+// widen asks the agents of all services: an earlier configuration may have sent the flow to any of them.
+func (r *Relay) widen(key flow.Key, s *search, now time.Time) {
+	all, ok := r.opts.Members.Everyone(maxWide)
+	if !ok {
+		r.fail(key, s, now)
+		return
+	}
+	s.wide = true
+	s.Extend(all, now)
+	r.ask(key, s)
+	r.step(key, s, now)
+}
+
+// fail drops the packets; the client's next one goes on with the search.
+func (r *Relay) fail(key flow.Key, s *search, now time.Time) {
+	r.counts.Add("search_failed", 1)
+	s.kept, s.idle = nil, true
+	if now.Sub(s.started) > searchLife {
+		delete(r.searches, key)
 	}
 }
 
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -93,6 +93,20 @@
 	return s
 }
 
+// Extend adds candidates that are not yet among those asked, and starts the time for answers anew.
+func (s *Search) Extend(more []Candidate, now time.Time) {
+	known := make(map[netip.AddrPort]bool, len(s.candidates))
+	for i := range s.candidates {
+		known[s.candidates[i].agent] = true
+	}
+	for _, c := range more {
+		if !known[c.Agent] {
+			s.candidates = append(s.candidates, candidate{agent: c.Agent, silent: c.Silent})
+		}
+	}
+	s.started = now
+}
+
 // Unanswered returns the agents to ask, or to ask again.
 func (s *Search) Unanswered() []netip.AddrPort {
 	var out []netip.AddrPort
