--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -21,6 +21,8 @@
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
+	"github.com/bergamotrun/bergamotrun/internal/logs"
+	"github.com/bergamotrun/bergamotrun/internal/pace"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/server"
 	"github.com/bergamotrun/bergamotrun/internal/timer"
@@ -93,6 +95,9 @@
 	server *server.Server
 	flows  *flow.Table[held]
 	denied *flow.Table[struct{}]
+	queue  *pace.Queue[flow.Key]
+	// waits holds how long requests waited for their turn.
+	waits *logs.Histogram
 	// whole is from when on the table holds all of the server's flows.
 	whole   time.Time
 	idle    time.Duration
@@ -109,7 +114,8 @@
 		server: server.New(server.Options{Address: opts.Server, Service: opts.Service, Interval: opts.Interval}),
 		flows:  flow.NewTable[held](defaultIdle, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTime, maxFlows),
-		whole:  now.Add(defaultIdle), refuses: server.Unknown,
+		queue:  pace.New[flow.Key](), waits: logs.NewHistogram(),
+		whole: now.Add(defaultIdle), refuses: server.Unknown,
 	}
 	if opts.FirstStart {
 		a.whole = now
@@ -117,6 +123,7 @@
 	a.clientPort = opts.Clients.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", a.counts)
 	opts.Vars.Set("flows", expvar.Func(func() any { return a.Load().Flows }))
+	opts.Vars.Set("request_wait", a.waits)
 	opts.Vars.Set("pending", expvar.Func(func() any { return a.Load().Pending }))
 	return a
 }
@@ -178,7 +185,7 @@
 	defer a.mu.Unlock()
 	first, repeated := a.server.Rates(now)
 	return ctrl.ServerLoad{
-		Ready: a.server.Refuses(now) == server.None, Pending: a.server.Pending(), Flows: a.open, Slots: a.server.Slots(),
+		Ready: a.server.Refuses(now) == server.None, Pending: a.queue.Waiting() + a.queue.Running(), Flows: a.open, Slots: a.server.Slots(),
 		Service: a.server.Mean(), First: int(first * thousand), Repeated: int(repeated * thousand), Cold: a.server.Cold(now),
 	}
 }
@@ -237,15 +244,16 @@
 	}
 	a.ticked = now
 	a.noteReadiness(now)
+	a.expire(now)
 }
 
 func (a *Agent) sweep() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	a.flows.Sweep(now, sweepFlows, func(_ flow.Key, f *held) {
+	a.flows.Sweep(now, sweepFlows, func(k flow.Key, f *held) {
 		a.counts.Add("flow_expired", 1)
-		a.release(f)
+		a.release(k, f)
 	})
 	a.denied.Sweep(now, sweepFlows, func(flow.Key, *struct{}) {})
 }
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -1,11 +1,22 @@
 package deliv
 
 import (
+	"bytes"
 	"net/netip"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
+	"github.com/bergamotrun/bergamotrun/internal/pace"
+)
+
+const (
+	// spareRequests is how many requests more than its slots a server gets, so that it never waits for the agent.
+	spareRequests = 1
+	// stuckAfter is how long a request may keep a slot without an answer: long against the longest work.
+	stuckAfter = 1500 * time.Millisecond
 )
 
 // phase is how far a flow has come at the backend server.
@@ -38,10 +49,12 @@
 	// clientEnd is the sequence number after the client's last byte.
 	clientEnd uint32
 	seen      bool
-	// busy says that a request was delivered at began, as one of among, and that no answer has begun.
-	busy                 bool
-	began                time.Time
+	// busy says that a request came at began and that no answer has begun. It waits with its packets kept, or was
+	// delivered at sent as one of among.
+	busy, waits          bool
+	began, sent          time.Time
 	among                int
+	kept                 [][]byte
 	answered             bool
 	clientFin, serverFin bool
 }
@@ -57,54 +70,137 @@
 	}
 }
 
-// release takes a flow that is forgotten out of the counts.
-func (a *Agent) release(f *held) {
+// release takes a flow that is over out of the counts.
+func (a *Agent) release(key flow.Key, f *held) {
 	if f.busy {
-		f.busy = false
-		a.server.Drop()
+		f.busy, f.waits, f.kept = false, false, nil
+		a.queue.Remove(key)
+		a.dispatch(time.Now())
 	}
 	a.setPhase(f, closed)
 }
 
 func (a *Agent) forget(key flow.Key) {
 	if f := a.flows.Peek(key); f != nil {
-		a.release(f)
+		a.release(key, f)
 		a.flows.Delete(key)
 	}
 }
 
-// clientData notes a client's packet that was delivered: new bytes after an answer, or the first ones, begin a request.
-func (a *Agent) clientData(f *held, h flow.Head, now time.Time) {
+// clientData notes a client's packet: new bytes after an answer, or the first ones, begin a request. It reports
+// whether the packet may go to the server now; else it is kept until its request's turn.
+func (a *Agent) clientData(key flow.Key, f *held, h flow.Head, packet []byte, now time.Time) bool {
 	if h.Fin {
 		f.clientFin = true
 	}
-	if h.Len == 0 {
-		return
+	if h.Rst {
+		a.release(key, f)
+		return true
+	}
+	if h.Len == 0 && !(h.Fin && f.waits) {
+		return true
+	}
+	if f.waits {
+		f.keep(packet)
+		return false
 	}
 	end := h.Seq + uint32(h.Len)
-	fresh := !f.seen || int32(end-f.clientEnd) > 0
-	if !fresh {
-		return
+	if f.seen && int32(end-f.clientEnd) <= 0 {
+		return true
 	}
 	f.seen, f.clientEnd = true, end
 	if f.busy {
-		return
+		return true
+	}
+	f.busy, f.waits, f.began = true, true, now
+	a.server.Arrive(f.answered, now)
+	a.queue.Add(a.request(key, now))
+	f.keep(packet)
+	a.dispatch(now)
+	return false
+}
+
+// defaultObjective and defaultTimeout stand for those of a route that isn't known.
+const (
+	defaultObjective = 200 * time.Millisecond
+	defaultTimeout   = 3 * time.Second
+)
+
+// request returns what the order of requests rests on.
+func (a *Agent) request(key flow.Key, now time.Time) pace.Request[flow.Key] {
+	r := pace.Request[flow.Key]{ID: key, Objective: now.Add(defaultObjective), Deadline: now.Add(defaultTimeout)}
+	if rt := a.opts.Members.Table().Lookup(key.Service()); rt != nil {
+		r.Priority, r.Objective, r.Deadline = rt.Priority, now.Add(rt.Objective), now.Add(rt.Timeout)
+	}
+	return r
+}
+
+// maxKept bounds the packets that are kept for a waiting request: a client has at most 16 on their way.
+const maxKept = 18
+
+// keep stores a packet until the flow's request gets its turn. Copies of what is stored are dropped.
+func (f *held) keep(packet []byte) {
+	for _, k := range f.kept {
+		if bytes.Equal(k, packet) {
+			return
+		}
+	}
+	if len(f.kept) < maxKept {
+		f.kept = append(f.kept, bytes.Clone(packet))
+	}
+}
+
+// dispatch gives waiting requests to the server as long as it has room.
+func (a *Agent) dispatch(now time.Time) {
+	for {
+		key, ok := a.queue.Next(now, a.server.Slots()+spareRequests, a.server.Mean())
+		if !ok {
+			return
+		}
+		f := a.flows.Peek(key)
+		if f == nil {
+			a.queue.Remove(key)
+			continue
+		}
+		a.waits.RecordDuration(now.Sub(f.began))
+		f.waits, f.sent, f.among = false, now, a.queue.Running()
+		for _, packet := range f.kept {
+			a.deliver(packet)
+		}
+		f.kept = nil
 	}
-	f.busy, f.began = true, now
-	f.among = a.server.Begin(f.answered, now)
 }
 
 // serverData notes a packet of the server: its first bytes after a request begin the answer.
-func (a *Agent) serverData(f *held, h flow.Head, now time.Time) {
+func (a *Agent) serverData(key flow.Key, f *held, h flow.Head, now time.Time) {
 	if h.Fin {
 		f.serverFin = true
 	}
-	if h.Len > 0 && f.busy {
+	if h.Len > 0 && f.busy && !f.waits {
 		f.busy, f.answered = false, true
-		a.server.End(now.Sub(f.began), f.among)
+		a.queue.Remove(key)
+		a.server.Finish(now.Sub(f.sent), f.among)
+		a.dispatch(now)
 	}
 	if h.Rst || (f.clientFin && f.serverFin) {
-		a.release(f)
+		a.release(key, f)
+	}
+}
+
+// expire takes requests out whose callers have given up, or which the server does not answer.
+func (a *Agent) expire(now time.Time) {
+	waited, ran := a.queue.Expire(now, stuckAfter)
+	for _, key := range append(waited, ran...) {
+		if f := a.flows.Peek(key); f != nil {
+			f.busy, f.waits, f.kept = false, false, nil
+		}
+	}
+	if len(waited) > 0 || len(ran) > 0 {
+		a.counts.Add("requests_given_up", int64(len(waited)))
+		a.counts.Add("requests_stuck", int64(len(ran)))
+		a.opts.Flows.Warn("requests without an answer", zap.Int("waited", len(waited)), zap.Int("ran", len(ran)),
+			zap.Int("waiting", a.queue.Waiting()), zap.Duration("service", a.server.Mean()))
+		a.dispatch(now)
 	}
 }
 
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -150,8 +150,9 @@
 		a.counts.Add("tried", 1)
 	}
 	f.entry = from
-	a.clientData(f, h, now)
-	a.deliver(b[hop.Size:])
+	if a.clientData(key, f, h, b[hop.Size:], now) {
+		a.deliver(b[hop.Size:])
+	}
 }
 
 // lost ends a flow whose server has ended, so that its client can come back at once.
@@ -229,7 +230,7 @@
 	if f.claim && !h.Rst {
 		a.claimFlow(key, f)
 	}
-	a.serverData(f, h, now)
+	a.serverData(key, f, h, now)
 }
 
 // bounced handles a packet that the server gave back: it can't take the new flow, or doesn't hold this one.
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -328,6 +328,9 @@
 // onRoll takes over what another process knows of processes.
 func (n *Node) onRoll(_ netip.AddrPort, roll ctrl.Roll) { n.learn(roll.Records) }
 
+// cares reports whether this process needs to know another one: agents don't need each other.
+func (n *Node) cares(r view.Record) bool { return n.opts.Load == nil || r.Role == view.Entry }
+
 // learn merges records that others know, and greets the processes that are new.
 func (n *Node) learn(records []view.Record) {
 	now := time.Now()
@@ -338,6 +341,9 @@
 			n.contradict(r, now)
 			continue
 		}
+		if !n.cares(r) {
+			continue
+		}
 		if n.view.Merge(r, now) && (r.State == view.Up || r.State == view.Draining) && n.peers[r.Packets] == nil {
 			n.peers[r.Packets] = &peer{heard: now}
 			greet = append(greet, r.Control)
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -138,6 +138,9 @@
 func (n *Node) watches() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.opts.Load != nil && len(n.peers) > 0 {
+		return false // Entries watch, and tell the agents.
+	}
 	own := place.Weight(watchSeed, n.self.Packets)
 	before := 0
 	for a, p := range n.peers {
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -115,7 +115,6 @@
 func (s *Server) restart(now time.Time) {
 	s.starts++
 	s.gone = false
-	s.pending = 0
 	s.opens = 0
 	s.heard = now
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -48,7 +48,6 @@
 	heard    time.Time
 	opens    int
 	opened   time.Time
-	pending  int
 	mean     time.Duration
 	first    rate
 	repeated rate
@@ -127,23 +126,20 @@
 	s.opens++
 }
 
-// Begin notes that a request was delivered; repeat says that its flow carried others before. It returns the
-// number of requests that the server has, this one included.
-func (s *Server) Begin(repeat bool, now time.Time) int {
-	s.pending++
+// Arrive notes that a request came; repeat says that its flow carried others before.
+func (s *Server) Arrive(repeat bool, now time.Time) {
 	if repeat {
 		s.repeated.add(now)
-	} else {
-		s.first.add(now)
+		return
 	}
-	return s.pending
+	s.first.add(now)
 }
 
-// End notes that the answer to a request began after took; among is what Begin returned for it.
-func (s *Server) End(took time.Duration, among int) {
-	s.Drop()
+// Finish notes that the answer to a request began took after its delivery; among is how many requests the server then
+// worked on, this one included.
+func (s *Server) Finish(took time.Duration, among int) {
 	if among > s.Slots() {
-		return
+		return // It waited in the server's own queue.
 	}
 	if s.mean == 0 {
 		s.mean = took
@@ -152,12 +148,6 @@
 	s.mean += time.Duration(serviceWeight * float64(took-s.mean))
 }
 
-// Drop notes that a request ended without an answer.
-func (s *Server) Drop() { s.pending = max(0, s.pending-1) }
-
-// Pending returns the number of requests that wait for an answer.
-func (s *Server) Pending() int { return s.pending }
-
 // Slots returns how many requests the server works on at the same time.
 func (s *Server) Slots() int {
 	if s.known && s.last.Slots > 0 {
