Open flows are found again in bulk after a restart

Cause: after all processes were killed, entries of 0.045 cores asked every agent for every flow (process not running for up to 2.2 s, flows found after up to 3.3 s), and agents knew none of their servers' flows. Agents now keep the list of long flows in the store and load it at a start; entries ask an agent for all flows at once; without a configuration open flows are still looked for; a new configuration is fetched from a random holder after a short pause.

--- a/cmd/deliver.go
+++ b/cmd/deliver.go
@@ -59,11 +59,11 @@
 	}
 	a = deliv.New(deliv.Options{
 		Hops: p.hops, Outbound: outbound, Clients: p.clients, Server: s.Server, Service: s.Service, Interval: s.Heartbeat.Std(),
-		FirstStart: s.First, Self: s.Hops, Format: platform.Packets{}, Members: p.node,
+		FirstStart: s.First, Self: s.Hops, Format: platform.Packets{}, Members: p.node, Shelf: p.directory.Shelf(s.Hops),
 		Log: p.log, Flows: p.flows, Vars: p.vars,
 	})
 	return p.close(p.serve(ctx, a, serveOptions{
-		file: *file, text: text, linger: deliverLinger,
+		file: *file, text: text, linger: deliverLinger, stopping: a.SaveList,
 		announce: platform.AnnounceHandler(a, p.log), announceOn: s.Announce,
 		parse: func(f string, t []byte) (sett.OpaqueCommon, error) {
 			s, err := sett.ParseDeliver(f, t)
--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -50,6 +50,7 @@
 	settings   sett.OpaqueCommon
 	node       *memb.Node
 	client     *ctrl.Client
+	directory  *platform.Directory
 	hops       *net.UDPConn
 	clients    *net.UDPConn
 	entry      bool
@@ -119,6 +120,7 @@
 	}
 	p.client = ctrl.NewClient(conf, counters)
 	store := platform.NewStore(s.Store, calls)
+	p.directory = platform.NewDirectory(store)
 	record := view.Record{
 		Packets: s.Hops, Control: s.Control, Role: opts.role, Domain: s.Domain, State: view.Up,
 		Incarnation: view.NewIncarnation(time.Now(), uint16(rand.Uint32())),
@@ -128,7 +130,7 @@
 	}
 	p.node = memb.New(memb.Options{
 		Self: record, Link: link, Listener: ln, Client: p.client,
-		Source: platform.NewContracts(store, p.log), Directory: platform.NewDirectory(store), Seeds: s.Seeds(),
+		Source: platform.NewContracts(store, p.log), Directory: p.directory, Seeds: s.Seeds(),
 		Bound: s.Apply.Std(), Load: opts.load, Changed: opts.changed, Log: p.log, Vars: p.vars,
 	})
 	p.log.Info("process started", zap.String("domain", s.Domain), zap.Uint64("incarnation", record.Incarnation),
@@ -249,7 +251,9 @@
 	file string
 	text []byte
 	// linger is how long the process serves after it was told to stop.
-	linger     time.Duration
+	linger time.Duration
+	// stopping is called once the others know that the process stops.
+	stopping   func()
 	announce   http.Handler
 	announceOn netip.AddrPort
 	parse      func(string, []byte) (sett.OpaqueCommon, error)
@@ -260,7 +264,7 @@
 	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g run.Group
-	g.Add(func() error { return p.linger(ctx, duties, opts.linger) }, func(error) { cancel() })
+	g.Add(func() error { return p.linger(ctx, duties, opts) }, func(error) { cancel() })
 	g.Add(func() error { return p.node.Run(duties) }, func(error) { cancel() })
 	g.Add(func() error { return c.Run(duties) }, func(error) { cancel() })
 	g.Add(func() error { return p.watchSettings(duties, opts.file, opts.text, opts.parse) }, func(error) { cancel() })
@@ -278,17 +282,20 @@
 }
 
 // linger runs after ctx ends: it tells the others, and keeps serving for a while before it cancels the duties.
-func (p *process) linger(ctx, duties context.Context, serve time.Duration) error {
+func (p *process) linger(ctx, duties context.Context, opts serveOptions) error {
 	select {
 	case <-duties.Done():
 		return nil
 	case <-ctx.Done():
 	}
-	p.log.Info("process stops", zap.Duration("serves_for", serve))
+	p.log.Info("process stops", zap.Duration("serves_for", opts.linger))
 	p.node.Stop(view.Draining)
+	if opts.stopping != nil {
+		opts.stopping()
+	}
 	select {
 	case <-duties.Done():
-	case <-time.After(serve):
+	case <-time.After(opts.linger):
 	}
 	if p.entry {
 		p.node.Stop(view.Gone) // An agent's server may outlive it, with its flows: it stays draining.
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -78,6 +78,7 @@
 	Self    netip.AddrPort
 	Format  Format
 	Members Members
+	Shelf   Shelf
 	// Log takes changes of belief; Flows takes decisions about single flows and is sampled.
 	Log, Flows *zap.Logger
 	Vars       *expvar.Map
@@ -137,6 +138,7 @@
 	g.Add(func() error { return a.serve(a.opts.Outbound, a.fromServer) }, func(error) { _ = a.opts.Outbound.Close() })
 	g.Add(func() error { return timer.Every(ctx, sweepTick, a.sweep) }, func(error) { cancel() })
 	g.Add(func() error { return timer.Every(ctx, watchTick, a.watch) }, func(error) { cancel() })
+	g.Add(func() error { return a.keepList(ctx) }, func(error) { cancel() })
 	return g.Run()
 }
 
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -46,6 +46,9 @@
 	hops   uint8
 	// claim says that the entry doesn't expect the flow here.
 	claim bool
+	// opened is when the agent first saw the flow; saved says that the last saved list has it.
+	opened time.Time
+	saved  bool
 	// clientEnd is the sequence number after the client's last byte.
 	clientEnd uint32
 	seen      bool
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -31,9 +31,13 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if head.Kind == hop.Ask {
+	switch head.Kind {
+	case hop.Ask:
 		a.asked(from, body, now)
 		return
+	case hop.List:
+		a.list(from, now)
+		return
 	}
 	h, ok := a.opts.Format.Parse(body)
 	if !ok {
@@ -91,7 +95,7 @@
 	a.forget(key)
 	a.flows.Put(key, held{
 		phase: opening, start: a.server.Starts(), entry: head.Entry, service: head.Service, second: head.Second,
-		hops: head.Hops, claim: head.Hops > 0,
+		hops: head.Hops, claim: head.Hops > 0, opened: now,
 	}, now)
 	a.server.Opening(now)
 	a.counts.Add("opened", 1)
@@ -100,12 +104,7 @@
 
 // refusal returns why a new flow must not reach the server.
 func (a *Agent) refusal(head hop.Head, h flow.Head, now time.Time) server.Reason {
-	last, known := a.server.Last()
-	service := a.opts.Service
-	if known {
-		service = last.Service
-	}
-	if route.Number(service) != head.Service {
+	if route.Number(a.service()) != head.Service {
 		return server.Foreign
 	}
 	if t := a.opts.Members.Table(); t != nil && t.Version > head.Version {
@@ -146,7 +145,7 @@
 		a.giveBack(b, head, from)
 		return
 	case f == nil:
-		f = a.flows.Put(key, held{phase: tried, start: a.server.Starts(), service: head.Service, answered: true, claim: head.Kind == hop.Probe}, now)
+		f = a.flows.Put(key, held{phase: tried, start: a.server.Starts(), service: head.Service, answered: true, opened: now, claim: head.Kind == hop.Probe}, now)
 		a.counts.Add("tried", 1)
 	}
 	f.entry = from
@@ -221,7 +220,7 @@
 		if h.Rst || h.Syn {
 			return
 		}
-		f = a.flows.Put(key, held{phase: opening, start: a.server.Starts(), answered: true}, now)
+		f = a.flows.Put(key, held{phase: opening, start: a.server.Starts(), opened: now, answered: true}, now)
 	}
 	if !h.Syn && (f.phase == opening || f.phase == tried) {
 		f.start = a.server.Starts()
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -43,8 +43,23 @@
 	Answer
 	// Claim tells an entry that the sender holds a flow.
 	Claim
+	// List asks an agent for the keys of all flows that its server holds.
+	List
+	// Listed answers a List by keys in place of a packet; there may be several, of which Final is the last.
+	Listed
 )
 
+// The flags of a Listed, in the place of Hops.
+const (
+	// Final marks the last datagram of an answer.
+	Final = 1
+	// Whole says that the server holds no other flows.
+	Whole = 2
+)
+
+// ListMost is how many keys fit into a Listed.
+const ListMost = 100
+
 // Head precedes a packet between processes.
 type Head struct {
 	Kind Kind
@@ -110,7 +125,7 @@
 		Version: binary.BigEndian.Uint64(b[4:]),
 		Service: binary.BigEndian.Uint64(b[12:]),
 	}
-	if h.Kind < Open || h.Kind > Claim {
+	if h.Kind < Open || h.Kind > Listed {
 		return Head{}, nil, ErrKind
 	}
 	h.Verdict = seek.Verdict(b[3])
@@ -134,3 +149,13 @@
 	}
 	return flow.KeyFrom([flow.KeySize]byte(body)), true
 }
+
+// Keys reads the keys of a Listed.
+func Keys(body []byte) []flow.Key {
+	out := make([]flow.Key, 0, len(body)/flow.KeySize)
+	for len(body) >= flow.KeySize {
+		out = append(out, flow.KeyFrom([flow.KeySize]byte(body[:flow.KeySize])))
+		body = body[flow.KeySize:]
+	}
+	return out
+}
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -106,6 +106,8 @@
 	silent bool
 	load   ctrl.ServerLoad
 	sent   int
+	// version is the version of the configuration that the process told last.
+	version uint64
 	// tells says that the process was heard at all, and not only listed.
 	tells bool
 	// away is when the process announced that it stops.
@@ -270,7 +272,7 @@
 	if p.silent {
 		n.opts.Log.Info("process is heard again", zap.Stringer("process", s.Record.Packets), zap.Duration("after", now.Sub(p.heard)))
 	}
-	p.heard, p.silent, p.tells = now, false, true
+	p.heard, p.silent, p.tells, p.version = now, false, true, s.Version
 	if s.Record.State == view.Draining || s.Record.State == view.Gone {
 		p.away = now
 	}
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -173,10 +173,13 @@
 	n.Hurry()
 }
 
-// fetch gets a newer configuration from another process, or asks the store when that fails.
+// fetch gets a newer configuration from another process, or asks the store when that fails. The first processes that
+// have it would be asked by all others at once; a short random pause lets more of them have it.
 func (n *Node) fetch(from netip.AddrPort, version uint64) {
+	time.Sleep(time.Duration(rand.Float64() * fetchSpread * float64(n.opts.Bound)))
 	ctx, cancel := context.WithTimeout(context.Background(), n.opts.Bound/4)
 	defer cancel()
+	from = n.holder(version, from)
 	var reply ctrl.TableReply
 	err := n.opts.Client.Call(ctx, from, "Node.Table", ctrl.TableArgs{}, &reply)
 	n.mu.Lock()
@@ -190,6 +193,21 @@
 	n.adopt(route.Restore(reply.Table), time.Time{}, from.String())
 }
 
+// fetchSpread is the part of the allowed age over which fetches of a new configuration are spread.
+const fetchSpread = 0.04
+
+// holder returns the control address of a random process that told to have a version; or else.
+func (n *Node) holder(version uint64, or netip.AddrPort) netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for a, p := range n.peers { // Maps are walked in random order.
+		if r, ok := n.view.Get(a); ok && p.version >= version && !p.silent {
+			return r.Control
+		}
+	}
+	return or
+}
+
 // keepListed lists the process in the directory, and learns of the others.
 func (n *Node) keepListed(ctx context.Context) error {
 	var kept, listed time.Time
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -85,6 +85,7 @@
 	flows    *flow.Table[placed]
 	searches map[flow.Key]*search
 	habits   map[string]*pick.Habit
+	lists    map[netip.AddrPort]*listing
 }
 
 // placed is what the entry knows of a flow.
@@ -104,6 +105,7 @@
 	r := &Relay{
 		opts: opts, counts: new(expvar.Map), flows: flow.NewTable[placed](defaultIdle, maxFlows),
 		searches: make(map[flow.Key]*search), habits: make(map[string]*pick.Habit),
+		lists: make(map[netip.AddrPort]*listing),
 	}
 	r.clientPort = opts.Clients.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", r.counts)
@@ -173,11 +175,11 @@
 	defer r.mu.Unlock()
 	table := r.opts.Members.Table()
 	rt := table.Lookup(h.Dst)
-	if rt == nil {
+	key := h.FromClient()
+	if rt == nil && (table != nil || h.Opens()) {
 		r.unrouted(h)
 		return
 	}
-	key := h.FromClient()
 	if h.Opens() {
 		r.open(key, h, rt, b, now)
 		return
@@ -189,7 +191,7 @@
 	}
 	r.observe(f, h, now)
 	r.counts.Add("carried", 1)
-	r.send(hop.Head{Kind: hop.Carry, Version: table.Version, Service: f.service, Entry: r.opts.Self}, b, f.agent)
+	r.send(hop.Head{Kind: hop.Carry, Version: versionOf(table), Service: f.service, Entry: r.opts.Self}, b, f.agent)
 }
 
 // observe learns the habit of the flow's route.
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -53,11 +53,7 @@
 			r.counts.Add("search_dropped", 1)
 			return
 		}
-		services := make([]uint64, 0, len(rt.Targets))
-		for _, t := range rt.Targets {
-			services = append(services, route.Number(t.Service))
-		}
-		s = &search{Search: seek.New(r.opts.Members.Holders(services), now), started: now, route: rt.Name, service: services[0], idle: true}
+		s = r.newSearch(rt, now)
 		r.searches[key] = s
 		r.counts.Add("searched", 1)
 	}
@@ -66,11 +62,28 @@
 	if s.idle {
 		s.idle = false
 		s.Retry(now)
-		r.ask(key, s)
+		r.ask(key, s, now)
 		r.step(key, s, now)
 	}
 }
 
+// newSearch returns a search among the agents of a route's services; without a route, since there is no configuration
+// yet, among all.
+func (r *Relay) newSearch(rt *route.Route, now time.Time) *search {
+	s := &search{started: now, idle: true}
+	if rt == nil {
+		all, _ := r.opts.Members.Everyone(maxWide)
+		s.Search, s.wide = seek.New(all, now), true
+		return s
+	}
+	services := make([]uint64, 0, len(rt.Targets))
+	for _, t := range rt.Targets {
+		services = append(services, route.Number(t.Service))
+	}
+	s.Search, s.route, s.service = seek.New(r.opts.Members.Holders(services), now), rt.Name, services[0]
+	return s
+}
+
 // keep stores a packet; the newest replaces the last one when there is no room.
 func (s *search) keep(b []byte) {
 	packet := append([]byte(nil), b...)
@@ -81,17 +94,86 @@
 	s.kept[maxKept-1] = packet
 }
 
-func (r *Relay) ask(key flow.Key, s *search) {
-	head := hop.Head{Kind: hop.Ask, Entry: r.opts.Self}
-	var room [hop.Size + flow.KeySize]byte
-	b := head.PutKey(room[:0], key)
-	for _, a := range s.Unanswered() {
-		if _, err := r.opts.Hops.WriteToUDPAddrPort(b, a); err != nil {
+// ask asks the agents that have not answered. Many flows are looked for at a time when an entry starts or takes over
+// from another, so that an agent is first asked for all of its flows at once.
+func (r *Relay) ask(key flow.Key, s *search, now time.Time) {
+	for _, agent := range s.Unanswered() {
+		l := r.lists[agent]
+		if l == nil {
+			l = new(listing)
+			r.lists[agent] = l
+		}
+		head := hop.Head{Kind: hop.Ask, Entry: r.opts.Self}
+		switch {
+		case now.Sub(l.asked) >= listEvery:
+			l.asked = now
+			head.Kind = hop.List
+		case !l.asked.Before(s.started) && now.Sub(l.asked) < listWait:
+			continue // The list that is on its way was asked for after the flow's packet came, so that it answers this too.
+		}
+		var room [hop.Size + flow.KeySize]byte
+		if _, err := r.opts.Hops.WriteToUDPAddrPort(head.PutKey(room[:0], key), agent); err != nil {
 			r.counts.Add("send_failed", 1)
 		}
 	}
 }
 
+// listing is when an agent was last asked for all of its flows.
+type listing struct{ asked time.Time }
+
+const (
+	// listEvery is the shortest time between two questions for all of an agent's flows.
+	listEvery = 400 * time.Millisecond
+	// listWait is how long an answer to that may take.
+	listWait = 25 * time.Millisecond
+)
+
+// listed takes over which flows an agent's server holds.
+func (r *Relay) listed(from netip.AddrPort, head hop.Head, body []byte, now time.Time) {
+	for _, key := range hop.Keys(body) {
+		if head.Verdict != seek.Held {
+			if s := r.searches[key]; s != nil {
+				s.Answer(from, head.Verdict)
+			}
+			continue
+		}
+		if f := r.flows.Peek(key); f != nil {
+			f.agent, f.service = from, head.Service
+		} else {
+			r.flows.Put(key, placed{agent: from, service: head.Service}, now)
+		}
+		if s := r.searches[key]; s != nil {
+			s.Answer(from, seek.Held)
+			r.advance(key, s, now)
+		}
+	}
+	if head.Hops&hop.Final == 0 {
+		return
+	}
+	l := r.lists[from]
+	if l == nil {
+		return
+	}
+	verdict := seek.Perhaps
+	if head.Hops&hop.Whole != 0 {
+		verdict = seek.Denied
+	}
+	for key, s := range r.searches {
+		// A flow whose packet came after the question may have been opened after the answer.
+		if s.Missing(from) && !s.started.After(l.asked) {
+			s.Answer(from, verdict)
+			r.advance(key, s, now)
+		}
+	}
+}
+
+// advance takes the next step of a search that doesn't wait for the client.
+func (r *Relay) advance(key flow.Key, s *search, now time.Time) {
+	if !s.idle {
+		r.step(key, s, now)
+	}
+}
+
 // step takes the search's next step, and comes back later when that is to wait.
 func (r *Relay) step(key flow.Key, s *search, now time.Time) {
 	step := s.Next(now)
@@ -127,7 +209,7 @@
 	}
 	s.wide = true
 	s.Extend(all, now)
-	r.ask(key, s)
+	r.ask(key, s, now)
 	r.step(key, s, now)
 }
 
@@ -214,6 +296,8 @@
 		r.answered(from, head.Verdict, body, now)
 	case hop.Claim:
 		r.claimed(from, head.Service, body, now)
+	case hop.Listed:
+		r.listed(from, head, body, now)
 	case hop.Return:
 		r.returned(from, b, body, now)
 	default:
@@ -228,9 +312,7 @@
 		return
 	}
 	s.Answer(from, v)
-	if !s.idle {
-		r.step(key, s, now)
-	}
+	r.advance(key, s, now)
 }
 
 // claimed notes that an agent holds a flow.
@@ -241,9 +323,7 @@
 	}
 	if s := r.searches[key]; s != nil {
 		s.Answer(from, seek.Held)
-		if !s.idle {
-			r.step(key, s, now)
-		}
+		r.advance(key, s, now)
 	}
 	if f := r.flows.Get(key, now); f != nil {
 		f.agent, f.service = from, service
@@ -265,9 +345,7 @@
 	}
 	if s := r.searches[key]; s != nil {
 		s.Answer(from, seek.Denied)
-		if !s.idle {
-			r.step(key, s, now)
-		}
+		r.advance(key, s, now)
 		return
 	}
 	rt := r.opts.Members.Table().Lookup(h.Dst)
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -118,6 +118,16 @@
 	return out
 }
 
+// Missing reports whether an agent was asked and has not answered.
+func (s *Search) Missing(agent netip.AddrPort) bool {
+	for i := range s.candidates {
+		if s.candidates[i].agent == agent {
+			return s.candidates[i].verdict == 0
+		}
+	}
+	return false
+}
+
 // Retry starts the time for answers anew; the verdicts so far stay.
 func (s *Search) Retry(now time.Time) { s.started = now }
 
