First flows are placed by the time of health checks

Cause: all long flows open in the first seconds, before any service time is known, so that slow servers got as many as fast ones. Means of few samples are no longer told, and outliers are capped.

--- a/cmd/deliver.go
+++ b/cmd/deliver.go
@@ -60,7 +60,8 @@
 	a = deliv.New(deliv.Options{
 		Hops: p.hops, Outbound: outbound, Clients: p.clients, Server: s.Server, Service: s.Service, Interval: s.Heartbeat.Std(),
 		FirstStart: s.First, Self: s.Hops, Format: platform.Packets{}, Members: p.node, Shelf: p.directory.Shelf(s.Hops),
-		Log: p.log, Flows: p.flows, Vars: p.vars,
+		Checker: platform.NewHealth(),
+		Log:     p.log, Flows: p.flows, Vars: p.vars,
 	})
 	return p.close(p.serve(ctx, a, serveOptions{
 		file: *file, text: text, linger: deliverLinger, stopping: a.SaveList,
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -42,6 +42,8 @@
 	First    int  `cbor:"6,keyasint,omitempty"`
 	Repeated int  `cbor:"7,keyasint,omitempty"`
 	Cold     bool `cbor:"8,keyasint,omitempty"`
+	// Check is the shortest time of a health check.
+	Check time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
 // Roll tells another process of processes.
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -79,6 +79,7 @@
 	Format  Format
 	Members Members
 	Shelf   Shelf
+	Checker Checker
 	// Log takes changes of belief; Flows takes decisions about single flows and is sampled.
 	Log, Flows *zap.Logger
 	Vars       *expvar.Map
@@ -97,6 +98,8 @@
 	flows  *flow.Table[held]
 	denied *flow.Table[struct{}]
 	queue  *pace.Queue[flow.Key]
+	// starts tells of a start of the server.
+	starts chan struct{}
 	// waits holds how long requests waited for their turn.
 	waits *logs.Histogram
 	// whole is from when on the table holds all of the server's flows.
@@ -114,8 +117,8 @@
 		opts: opts, counts: new(expvar.Map), started: now, ticked: now, idle: defaultIdle,
 		server: server.New(server.Options{Address: opts.Server, Service: opts.Service, Interval: opts.Interval}),
 		flows:  flow.NewTable[held](defaultIdle, maxFlows),
-		denied: flow.NewTable[struct{}](deniedTime, maxFlows),
-		queue:  pace.New[flow.Key](), waits: logs.NewHistogram(),
+		denied: flow.NewTable[struct{}](deniedTime, maxFlows), starts: make(chan struct{}, 1),
+		queue: pace.New[flow.Key](), waits: logs.NewHistogram(),
 		whole: now.Add(defaultIdle), refuses: server.Unknown,
 	}
 	if opts.FirstStart {
@@ -138,6 +141,7 @@
 	g.Add(func() error { return a.serve(a.opts.Outbound, a.fromServer) }, func(error) { _ = a.opts.Outbound.Close() })
 	g.Add(func() error { return timer.Every(ctx, sweepTick, a.sweep) }, func(error) { cancel() })
 	g.Add(func() error { return timer.Every(ctx, watchTick, a.watch) }, func(error) { cancel() })
+	g.Add(func() error { return a.checkStarts(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return a.keepList(ctx) }, func(error) { cancel() })
 	return g.Run()
 }
@@ -189,6 +193,7 @@
 	return ctrl.ServerLoad{
 		Ready: a.server.Refuses(now) == server.None, Pending: a.queue.Waiting() + a.queue.Running(), Flows: a.open, Slots: a.server.Slots(),
 		Service: a.server.Mean(), First: int(first * thousand), Repeated: int(repeated * thousand), Cold: a.server.Cold(now),
+		Check: a.server.Check(),
 	}
 }
 
@@ -205,6 +210,12 @@
 	if change == server.Started && (known || now.Sub(a.started) > 2*a.opts.Interval) {
 		a.whole = now // The agent has seen the server's whole life.
 	}
+	if change == server.Started {
+		select {
+		case a.starts <- struct{}{}:
+		default:
+		}
+	}
 	if change != server.Same {
 		a.opts.Log.Info("backend server changed", zap.String("id", an.ID), zap.Stringer("change", change),
 			zap.String("service", an.Service), zap.Uint64("sequence", an.Sequence), zap.Time("born", an.Born),
--- a/internal/memb/member.go
+++ b/internal/memb/member.go
@@ -42,7 +42,7 @@
 	const thousand = 1000
 	return pick.Load{
 		Pending: l.Pending, Flows: l.Flows, Slots: l.Slots, Service: l.Service,
-		First: float64(l.First) / thousand, Repeated: float64(l.Repeated) / thousand, Cold: l.Cold,
+		First: float64(l.First) / thousand, Repeated: float64(l.Repeated) / thousand, Cold: l.Cold, Check: l.Check,
 	}
 }
 
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -22,7 +22,7 @@
 	// queueing at four slots is still short there.
 	calm = 0.55
 	// farFactor is how much less utilized a server of another failure domain must be to get a long flow.
-	farFactor = 1.35
+	farFactor = 1.15
 	// farPart is the part of the route's objective that a far server must gain to get a single request.
 	farPart = 0.12
 	// queueWeight is the part of a service time that each request in progress adds below full slots.
@@ -59,6 +59,9 @@
 	// First and Repeated are the requests a second that opened a flow, and the others.
 	First, Repeated float64
 	Cold            bool
+	// Check is the shortest time of a health check; 0 when unknown. Among servers of which no service time is known
+	// yet it tells the fast from the slow.
+	Check time.Duration
 }
 
 // Flow is the new flow.
@@ -90,17 +93,29 @@
 type summary struct {
 	service time.Duration
 	perFlow float64
+	// perCheck is the service time of a server in proportion to the time of its health check; 0 when unknown.
+	perCheck float64
 }
 
 func summarize(members []Member) summary {
-	var service time.Duration
-	known, flows, repeated := 0, 0, 0.0
+	var service, check, served, checked time.Duration
+	known, both, checks, flows := 0, 0, 0, 0
+	repeated := 0.0
 	for i := range members {
 		l := &members[i].Load
 		if l.Service > 0 {
 			service += l.Service
 			known++
 		}
+		if l.Check > 0 {
+			checked += l.Check
+			checks++
+		}
+		if l.Service > 0 && l.Check > 0 {
+			served += l.Service
+			check += l.Check
+			both++
+		}
 		flows += l.Flows
 		repeated += l.Repeated
 	}
@@ -108,6 +123,12 @@
 	if known > 0 {
 		s.service = service / time.Duration(known)
 	}
+	switch {
+	case both > 0:
+		s.perCheck = float64(served) / float64(check)
+	case checks > 0:
+		s.perCheck = float64(s.service) * float64(checks) / float64(checked)
+	}
 	if flows > 0 && repeated > 0 {
 		s.perFlow = repeated / float64(flows)
 	}
@@ -179,6 +200,9 @@
 	service := l.Service
 	if service == 0 {
 		service = s.service
+		if s.perCheck > 0 && l.Check > 0 {
+			service = time.Duration(s.perCheck * float64(l.Check))
+		}
 	}
 	if l.Cold {
 		return time.Duration(coldFactor * float64(service))
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -30,10 +30,18 @@
 	Priority int
 }
 
+// Service is what backend servers of a name have in common.
+type Service struct {
+	Name string
+	// Health is the path of their health check.
+	Health string
+}
+
 // Table is a configuration: all routes under one version.
 type Table struct {
-	Version uint64
-	Routes  []Route
+	Version  uint64
+	Routes   []Route
+	Services []Service
 	// Idle is after how long without a packet a flow may be forgotten.
 	Idle time.Duration
 
@@ -69,6 +77,19 @@
 	return t.byAddress[address]
 }
 
+// Health returns the path of a service's health check, or an empty one.
+func (t *Table) Health(service string) string {
+	if t == nil {
+		return ""
+	}
+	for i := range t.Services {
+		if t.Services[i].Name == service {
+			return t.Services[i].Health
+		}
+	}
+	return ""
+}
+
 // ServiceOf returns the service of a new flow: a pure function of the flow's hash, so that all entries
 // agree. It returns an empty name when no target has a weight.
 func (r *Route) ServiceOf(hash uint64) string {
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -117,6 +117,7 @@
 	s.gone = false
 	s.opens = 0
 	s.heard = now
+	s.mean, s.samples, s.check = 0, 0, 0
 }
 
 // Withdraw notes that the server id leaves for good. It reports whether that is this start of the server.
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,8 +18,10 @@
 	rateWindow = 2 * time.Second
 	// serviceWeight is the weight of a new sample in the mean service time: some 20 requests.
 	serviceWeight = 0.05
-	// trustLapse is how long a health answer stands for a heartbeat after the agent has started.
-	trustLapse = 5 * time.Second
+	// trustedSamples is how many requests must be seen before their mean says something.
+	trustedSamples = 5
+	// outlier bounds a sample, in means: a rare long request says little of the server.
+	outlier = 4
 )
 
 // Options are the fixed facts of a backend server.
@@ -42,13 +44,13 @@
 	last      Announcement
 	beat      time.Time
 	coldUntil time.Time
-	// vouched is until when a health answer stands for the first heartbeat.
-	vouched time.Time
 
 	heard    time.Time
 	opens    int
 	opened   time.Time
 	mean     time.Duration
+	samples  int
+	check    time.Duration
 	first    rate
 	repeated rate
 }
@@ -56,12 +58,6 @@
 // New returns a server of which nothing is known.
 func New(opts Options) *Server { return &Server{opts: opts} }
 
-// Vouch notes that the server answered a health check before its first heartbeat came.
-func (s *Server) Vouch(now time.Time) { s.vouched = now.Add(trustLapse) }
-
-// Vouched reports whether the server's state is still unknown, so that a health check would help.
-func (s *Server) Vouched(now time.Time) bool { return s.known || now.Before(s.vouched) }
-
 // Resume moves what is timed by silence past a time in which the agent itself did not run.
 func (s *Server) Resume(gap time.Duration) {
 	s.beat = s.beat.Add(gap)
@@ -86,7 +82,7 @@
 // Refuses returns why the server takes no new flow now, or None.
 func (s *Server) Refuses(now time.Time) Reason {
 	switch {
-	case !s.known && !now.Before(s.vouched):
+	case !s.known:
 		return Unknown
 	case s.gone:
 		return Gone
@@ -141,11 +137,12 @@
 	if among > s.Slots() {
 		return // It waited in the server's own queue.
 	}
-	if s.mean == 0 {
-		s.mean = took
-		return
+	s.samples++
+	if s.samples > trustedSamples {
+		took = min(took, outlier*s.mean)
 	}
-	s.mean += time.Duration(serviceWeight * float64(took-s.mean))
+	weight := max(1/float64(s.samples), serviceWeight)
+	s.mean += time.Duration(weight * float64(took-s.mean))
 }
 
 // Slots returns how many requests the server works on at the same time.
@@ -156,8 +153,23 @@
 	return 1
 }
 
-// Mean returns the mean service time of requests that found a free slot; 0 when none was seen.
-func (s *Server) Mean() time.Duration { return s.mean }
+// Mean returns the mean service time of requests that found a free slot; 0 when too few were seen.
+func (s *Server) Mean() time.Duration {
+	if s.samples < trustedSamples {
+		return 0
+	}
+	return s.mean
+}
+
+// Checked notes how long the server took to answer a health check while it had nothing else to do.
+func (s *Server) Checked(took time.Duration) {
+	if s.check == 0 || took < s.check {
+		s.check = took
+	}
+}
+
+// Check returns the shortest time of a health check in this start of the server; 0 when none was made.
+func (s *Server) Check() time.Duration { return s.check }
 
 // Rates returns the requests a second that were the first of their flow, and the others.
 func (s *Server) Rates(now time.Time) (first, repeated float64) {
