--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -44,6 +44,8 @@
 	// pauseGap is the gap between two ticks that shows that the process itself was not running.
 	pauseGap  = 700 * time.Millisecond
 	watchTick = 100 * time.Millisecond
+	// tellTick is how soon entries nearby hear of a changed number of requests: about a service time.
+	tellTick = 30 * time.Millisecond
 )
 
 // Format reads and makes packets of the platform.
@@ -58,8 +60,9 @@
 // Members knows the configuration, and tells the others of this process.
 type Members interface {
 	Table() *route.Table
-	// Hurry tells the others of a change at once.
+	// Hurry tells the others of a change at once; HurryNear tells those in the own failure domain.
 	Hurry()
+	HurryNear()
 }
 
 // Options are what an Agent needs.
@@ -108,6 +111,8 @@
 	ticked  time.Time
 	refuses server.Reason
 	open    int
+	// told is the number of requests that was told last.
+	told int
 }
 
 // New returns an agent.
@@ -132,6 +137,15 @@
 	return a
 }
 
+// sizes are numbers that metrics show.
+type sizes struct{ flows, waiting, running int }
+
+func (a *Agent) sizes() sizes {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return sizes{flows: a.open, waiting: a.queue.Waiting(), running: a.queue.Running()}
+}
+
 // Run carries packets until ctx ends.
 func (a *Agent) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -141,6 +155,7 @@
 	g.Add(func() error { return a.serve(a.opts.Outbound, a.fromServer) }, func(error) { _ = a.opts.Outbound.Close() })
 	g.Add(func() error { return timer.Every(ctx, sweepTick, a.sweep) }, func(error) { cancel() })
 	g.Add(func() error { return timer.Every(ctx, watchTick, a.watch) }, func(error) { cancel() })
+	g.Add(func() error { return timer.Every(ctx, tellTick, a.tell) }, func(error) { cancel() })
 	g.Add(func() error { return a.checkStarts(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return a.keepList(ctx) }, func(error) { cancel() })
 	return g.Run()
@@ -189,9 +204,10 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.told = a.queue.Waiting() + a.queue.Running()
 	first, repeated := a.server.Rates(now)
 	return ctrl.ServerLoad{
-		Ready: a.server.Refuses(now) == server.None, Pending: a.queue.Waiting() + a.queue.Running(), Flows: a.open, Slots: a.server.Slots(),
+		Ready: a.server.Refuses(now) == server.None, Pending: a.told, Flows: a.open, Slots: a.server.Slots(),
 		Service: a.server.Mean(), First: int(first * thousand), Repeated: int(repeated * thousand), Cold: a.server.Cold(now),
 		Check: a.server.Check(),
 	}
@@ -260,6 +276,17 @@
 	a.expire(now)
 }
 
+// tell tells entries nearby when the number of requests has changed by as much as the server has slots.
+func (a *Agent) tell() {
+	a.mu.Lock()
+	pending := a.queue.Waiting() + a.queue.Running()
+	changed := max(pending-a.told, a.told-pending) >= a.server.Slots()
+	a.mu.Unlock()
+	if changed {
+		a.opts.Members.HurryNear()
+	}
+}
+
 func (a *Agent) sweep() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// HurryNear tells the node's state to the entries of its own failure domain at once, where news cost little.
+func (n *Node) HurryNear() {
+	n.mu.Lock()
+	state, to := n.state(time.Now()), n.audience(true)
+	n.mu.Unlock()
+	n.send(state, to)
+}
+
 func (n *Node) noteSilence(now time.Time) {
 	for a, p := range n.peers {
 		if !p.silent && now.Sub(p.heard) > silentAfter {
@@ -224,8 +232,13 @@
 	n.mu.Lock()
 	n.beaten = now
 	state := n.state(now)
-	to := n.audience()
+	to := n.audience(false)
 	n.mu.Unlock()
+	n.send(state, to)
+}
+
+// send sends a heartbeat, with the server's load as it is now.
+func (n *Node) send(state ctrl.State, to []netip.AddrPort) {
 	if n.opts.Load != nil {
 		load := n.opts.Load()
 		state.Server = &load
@@ -243,12 +256,13 @@
 	return s
 }
 
-// audience returns the control addresses of the processes that are told the node's state.
-func (n *Node) audience() []netip.AddrPort {
+// audience returns the control addresses of the processes that are told the node's state, or of those among them that
+// are in its failure domain.
+func (n *Node) audience(near bool) []netip.AddrPort {
 	var to []netip.AddrPort
 	for a := range n.peers {
 		r, ok := n.view.Get(a)
-		if ok && r.State != view.Gone && (n.opts.Load == nil || r.Role == view.Entry) {
+		if ok && r.State != view.Gone && (n.opts.Load == nil || r.Role == view.Entry) && (!near || r.Domain == n.self.Domain) {
 			to = append(to, r.Control)
 		}
 	}
@@ -353,15 +367,8 @@
 	}
 	state := n.state(now)
 	n.mu.Unlock()
-	if len(greet) == 0 {
-		return
-	}
-	if n.opts.Load != nil {
-		load := n.opts.Load()
-		state.Server = &load
-	}
-	if err := ctrl.Broadcast(n.opts.Link, greet, ctrl.KindState, state); err != nil {
-		n.opts.Log.Debug("greeting not sent", zap.Error(err))
+	if len(greet) > 0 {
+		n.send(state, greet)
 	}
 }
 
