--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,152 @@
+package pace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var base = time.Unix(1000, 0)
+
+const service = 25 * time.Millisecond
+
+func request(id, priority int, objective, deadline time.Duration) Request[int] {
+	return Request[int]{ID: id, Priority: priority, Objective: base.Add(objective), Deadline: base.Add(deadline)}
+}
+
+func drain(q *Queue[int], now time.Time) []int {
+	var order []int
+	for {
+		id, ok := q.Next(now, 1, service)
+		if !ok {
+			return order
+		}
+		order = append(order, id)
+		q.Remove(id)
+	}
+}
+
+func TestTimelyRequestsGoFirst(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	q.Add(request(1, 1, 10*time.Millisecond, time.Second))  // Too late for its objective.
+	q.Add(request(2, 2, 300*time.Millisecond, time.Second)) // Timely, low priority.
+	q.Add(request(3, 1, 400*time.Millisecond, time.Second)) // Timely, high priority.
+	q.Add(request(4, 2, 200*time.Millisecond, time.Second)) // Timely, low priority, earlier.
+	is.Equal(drain(q, base), []int{3, 4, 2, 1})
+}
+
+func TestCallersThatHaveLeftGoLast(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	q.Add(request(1, 0, -time.Second, -time.Millisecond))
+	q.Add(request(2, 5, -time.Second, time.Second))
+	is.Equal(drain(q, base), []int{2, 1})
+}
+
+func TestLimitHolds(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	for i := range 5 {
+		q.Add(request(i, 1, time.Second, time.Second))
+	}
+	for range 3 {
+		_, ok := q.Next(base, 3, service)
+		is.True(ok)
+	}
+	_, ok := q.Next(base, 3, service)
+	is.True(!ok)
+	is.Equal(q.Running(), 3)
+	is.Equal(q.Waiting(), 2)
+}
+
+// A late request is overtaken a bounded number of times.
+func TestLateRequestDoesNotStarve(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	q.Add(request(-1, 9, -time.Second, time.Second))
+	for i := range 100 {
+		q.Add(request(i, 0, time.Second, time.Second))
+	}
+	order := drain(q, base)
+	is.Equal(order[lateTurn], -1)
+}
+
+func TestExpireFreesSlots(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	q.Add(request(1, 1, time.Second, 5*time.Second))
+	q.Add(request(2, 1, time.Second, time.Second))
+	_, ok := q.Next(base, 1, service)
+	is.True(ok)
+	waited, ran := q.Expire(base.Add(2*time.Second), 1500*time.Millisecond)
+	is.Equal(waited, []int{2})
+	is.Equal(ran, []int{1})
+	is.Equal(q.Running()+q.Waiting(), 0)
+}
+
+// crest plays a crest of one server with one slot: arrivals at 1.5 times its speed for two seconds, half that before and
+// after, one in four of high priority. It returns the parts of requests answered within their objective.
+func crest(order func(q *Queue[int], now time.Time) (int, bool)) (all, high float64) {
+	const objective, deadline = 200 * time.Millisecond, 3 * time.Second
+	q := New[int]()
+	var arrivals []time.Duration
+	for at := time.Duration(0); at < 6*time.Second; {
+		arrivals = append(arrivals, at)
+		gap := 2 * service
+		if at > 2*time.Second && at < 4*time.Second {
+			gap = service * 2 / 3
+		}
+		at += gap
+	}
+	next, timely, timelyHigh, total, totalHigh := 0, 0, 0, 0, 0
+	for now := time.Duration(0); now < 10*time.Second; now += service {
+		for next < len(arrivals) && arrivals[next] <= now {
+			q.Add(Request[int]{ID: next, Priority: min(next%4, 1), Objective: base.Add(arrivals[next] + objective),
+				Deadline: base.Add(arrivals[next] + deadline)})
+			next++
+		}
+		id, ok := order(q, base.Add(now))
+		if !ok {
+			continue
+		}
+		q.Remove(id)
+		if now+service <= arrivals[id]+objective {
+			timely++
+			if id%4 == 0 {
+				timelyHigh++
+			}
+		}
+	}
+	for i := range arrivals {
+		total++
+		if i%4 == 0 {
+			totalHigh++
+		}
+	}
+	return float64(timely) / float64(total), float64(timelyHigh) / float64(totalHigh)
+}
+
+// At a crest of half as much again as the server can do, the order of arrival makes nearly all of the crest late; this
+// order costs only the excess, and none of the requests of high priority.
+func TestCrestCostsOnlyTheExcess(t *testing.T) {
+	is := is.New(t)
+	paced, high := crest(func(q *Queue[int], now time.Time) (int, bool) { return q.Next(now, 1, service) })
+	arrival, _ := crest(func(q *Queue[int], _ time.Time) (int, bool) {
+		if len(q.waiting) == 0 {
+			return 0, false
+		}
+		first := 0
+		for i := range q.waiting {
+			if q.waiting[i].ID < q.waiting[first].ID {
+				first = i
+			}
+		}
+		return q.waiting[first].ID, true
+	})
+	t.Logf("within the objective: paced %.2f (high priority %.2f), in order of arrival %.2f", paced, high, arrival)
+	is.True(high == 1)
+	is.True(paced > 0.75)
+	is.True(paced > arrival+0.2)
+}
--- /dev/null
+++ b/internal/pick/pick_test.go
@@ -0,0 +1,190 @@
+package pick
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func agent(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+}
+
+func ready(i int, l Load) Member {
+	return Member{Agent: agent(i), Near: true, Ready: true, Load: l}
+}
+
+func TestNoMember(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Choose(Flow{}, nil), Choice{First: -1, Second: -1})
+	is.Equal(Choose(Flow{}, []Member{{Agent: agent(1)}}).First, -1) // Not ready.
+	is.Equal(Choose(Flow{}, []Member{ready(1, Load{})}), Choice{First: 0, Second: -1})
+}
+
+func TestAvoidIsTheLastResort(t *testing.T) {
+	is := is.New(t)
+	members := []Member{ready(0, Load{Slots: 4}), ready(1, Load{Slots: 4, Pending: 30})}
+	is.Equal(Choose(Flow{Avoid: agent(0)}, members), Choice{First: 1, Second: 0})
+	is.Equal(Choose(Flow{Avoid: agent(0)}, members[:1]).First, 0)
+}
+
+// Long flows level the utilization: a server of twice the speed gets twice the flows.
+func TestLongFlowsFollowSpeed(t *testing.T) {
+	is := is.New(t)
+	members := []Member{
+		ready(0, Load{Slots: 4, Service: 20 * time.Millisecond}),
+		ready(1, Load{Slots: 4, Service: 40 * time.Millisecond}),
+	}
+	for i := range 300 {
+		members[Choose(Flow{Long: true, Hash: uint64(i) * 7919}, members).First].Sent++
+	}
+	is.True(members[0].Sent > 185 && members[0].Sent < 215)
+}
+
+// Before requests were seen, health checks tell the fast servers.
+func TestFirstFlowsFollowHealthChecks(t *testing.T) {
+	is := is.New(t)
+	members := []Member{
+		ready(0, Load{Slots: 4, Check: 800 * time.Microsecond}),
+		ready(1, Load{Slots: 4, Check: 1600 * time.Microsecond}),
+	}
+	for i := range 300 {
+		members[Choose(Flow{Long: true, Hash: uint64(i) * 7919}, members).First].Sent++
+	}
+	is.True(members[0].Sent > 185 && members[0].Sent < 215)
+}
+
+func TestSingleRequestsStayNearWhileTheWaitIsShort(t *testing.T) {
+	is := is.New(t)
+	far := ready(1, Load{Slots: 4, Service: 25 * time.Millisecond})
+	far.Near = false
+	f := Flow{Objective: 200 * time.Millisecond}
+	is.Equal(Choose(f, []Member{ready(0, Load{Slots: 4, Pending: 4, Service: 25 * time.Millisecond}), far}).First, 0)
+	is.Equal(Choose(f, []Member{ready(0, Load{Slots: 4, Pending: 20, Service: 25 * time.Millisecond}), far}).First, 1)
+}
+
+// An old number of pending requests gives way to the mean.
+func TestOldReportsCountLess(t *testing.T) {
+	is := is.New(t)
+	old := ready(0, Load{Slots: 2, Service: 25 * time.Millisecond})
+	old.Age = time.Second
+	old.Load.First = 70
+	fresh := ready(1, Load{Slots: 2, Pending: 1, Service: 25 * time.Millisecond, First: 70})
+	is.Equal(Choose(Flow{Objective: time.Second}, []Member{old, fresh}).First, 1)
+}
+
+func TestHabit(t *testing.T) {
+	is := is.New(t)
+	var h Habit
+	is.True(h.Long())
+	for range 20 {
+		h.Ended()
+	}
+	is.True(!h.Long())
+	is.True(!h.Aged(100 * time.Millisecond))
+	for range 20 {
+		is.True(h.Aged(2 * time.Second))
+	}
+	is.True(h.Long())
+}
+
+// crowd plays single requests against servers of unequal speed at 85% utilization, with reports every 200 ms from all
+// of them, and returns the mean time in the system.
+func crowd(choose func(rnd *rand.Rand, members []Member) int) time.Duration {
+	const servers, requests, slots = 12, 40_000, 2
+	rnd := rand.New(rand.NewPCG(3, 4))
+	means := make([]time.Duration, servers)
+	capacity := 0.0
+	for i := range means {
+		means[i] = 30 * time.Millisecond
+		if i%4 == 0 {
+			means[i] = 14 * time.Millisecond
+		}
+		capacity += slots / means[i].Seconds()
+	}
+	free := make([]times, servers)
+	members := make([]Member, servers)
+	for i := range members {
+		members[i] = ready(i, Load{Slots: slots, Service: means[i]})
+		free[i] = make(times, slots)
+	}
+	var pending []finish
+	now, reported, total := time.Duration(0), time.Duration(0), time.Duration(0)
+	count := make([]int, servers)
+	for range requests {
+		now += time.Duration(rnd.ExpFloat64() / (0.85 * capacity) * float64(time.Second))
+		kept := pending[:0]
+		for _, p := range pending {
+			if p.at > now {
+				kept = append(kept, p)
+				continue
+			}
+			count[p.server]--
+		}
+		pending = kept
+		if now-reported > 200*time.Millisecond {
+			reported = now
+			for i := range members {
+				members[i].Load.Pending, members[i].Sent = count[i], 0
+				members[i].Load.First = 0.85 * slots / means[i].Seconds()
+			}
+		}
+		for i := range members {
+			members[i].Age = now - reported
+		}
+		i := choose(rnd, members)
+		members[i].Sent++
+		start := max(now, heap.Pop(&free[i]).(time.Duration))
+		end := start + time.Duration(rnd.ExpFloat64()*float64(means[i]))
+		heap.Push(&free[i], end)
+		pending = append(pending, finish{end, i})
+		count[i]++
+		total += end - now
+	}
+	return total / requests
+}
+
+type finish struct {
+	at     time.Duration
+	server int
+}
+
+type times []time.Duration
+
+func (t times) Len() int           { return len(t) }
+func (t times) Less(i, j int) bool { return t[i] < t[j] }
+func (t times) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *times) Push(x any)        { *t = append(*t, x.(time.Duration)) }
+func (t *times) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+// Against a hash and the least told number of pending requests, the choice by expected time serves a heavy load of
+// single requests sooner.
+func TestCrowdIsServedSooner(t *testing.T) {
+	is := is.New(t)
+	chosen := crowd(func(rnd *rand.Rand, members []Member) int {
+		return Choose(Flow{Hash: rnd.Uint64(), Objective: 200 * time.Millisecond}, members).First
+	})
+	hash := crowd(func(rnd *rand.Rand, members []Member) int { return rnd.IntN(len(members)) })
+	least := crowd(func(rnd *rand.Rand, members []Member) int {
+		found, offset := 0, rnd.IntN(len(members))
+		for j := range members {
+			i := (j + offset) % len(members)
+			if members[i].Load.Pending < members[found].Load.Pending {
+				found = i
+			}
+		}
+		return found
+	})
+	t.Logf("mean time: chosen %s, least told %s, hash %s", chosen, least, hash)
+	is.True(chosen < least)
+	is.True(chosen < hash/2)
+}
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,161 @@
+package server
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+)
+
+var (
+	base    = time.Unix(1000, 0)
+	address = netip.MustParseAddrPort("10.0.0.1:80")
+)
+
+const interval = time.Second
+
+func newServer() *Server {
+	return New(Options{Address: address, Service: "desk", Interval: interval})
+}
+
+func beat(sequence uint64) Announcement {
+	return Announcement{ID: "i-1", Service: "desk", Address: address, Slots: 4, Sequence: sequence, Born: base}
+}
+
+func mustAnnounce(t *testing.T, s *Server, a Announcement, now time.Time) Change {
+	t.Helper()
+	c, err := s.Announce(a, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestNothingIsTakenBeforeTheFirstHeartbeat(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	is.Equal(s.Refuses(base), Unknown)
+	is.Equal(mustAnnounce(t, s, beat(1), base), Started)
+	is.Equal(s.Refuses(base), None)
+}
+
+// Draining, once acknowledged, is not taken back by a heartbeat that was overtaken.
+func TestDrainingStays(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	drain := beat(5)
+	drain.Draining = true
+	is.Equal(mustAnnounce(t, s, drain, base), Drains)
+	is.Equal(mustAnnounce(t, s, beat(4), base), Same)
+	is.Equal(s.Refuses(base), Draining)
+	is.Equal(mustAnnounce(t, s, beat(6), base), Same)
+	is.Equal(s.Refuses(base), Draining)
+}
+
+// A heartbeat that comes twice, since its answer was lost, is acknowledged again.
+func TestRepeatedHeartbeatIsNoError(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	is.Equal(mustAnnounce(t, s, beat(1), base), Same)
+}
+
+// A delayed heartbeat of a start that is over doesn't replace the new one.
+func TestDelayedHeartbeatOfAnEarlierStart(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	next := beat(1)
+	next.ID, next.Born = "i-2", base.Add(10*time.Second)
+	mustAnnounce(t, s, next, base)
+	_, err := s.Announce(beat(90), base)
+	is.True(errors.Is(err, ErrStale))
+	is.Equal(s.Starts(), 1)
+}
+
+// A server whose clock was stepped back between two starts is taken once the former start has been silent.
+func TestStartAfterAClockStep(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(9), base)
+	back := beat(1)
+	back.Born = base.Add(-time.Minute)
+	_, err := s.Announce(back, base.Add(interval))
+	is.True(errors.Is(err, ErrStale))
+	is.Equal(mustAnnounce(t, s, back, base.Add(4*interval)), Started)
+	is.Equal(s.Starts(), 2)
+}
+
+// A server that starts again under its old name has lost its flows.
+func TestRestartUnderTheSameName(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(9), base)
+	again := beat(1)
+	again.Born = base.Add(20 * time.Second)
+	is.Equal(mustAnnounce(t, s, again, base.Add(20*time.Second)), Started)
+	is.Equal(s.Starts(), 2)
+}
+
+func TestForeignHeartbeats(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	other := beat(1)
+	other.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	_, err := s.Announce(other, base)
+	is.True(errors.Is(err, ErrAddress))
+	other = beat(1)
+	other.Service = "intake"
+	_, err = s.Announce(other, base)
+	is.True(errors.Is(err, ErrService))
+	is.Equal(s.Refuses(base), Unknown)
+}
+
+func TestSilence(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	is.Equal(s.Refuses(base.Add(2*interval)), None)
+	is.Equal(s.Refuses(base.Add(4*interval)), Silent)
+	is.True(!s.Dead(base.Add(4 * interval)))
+	is.True(s.Dead(base.Add(5 * interval)))
+	s.Heard(base.Add(5 * interval))
+	is.True(!s.Dead(base.Add(5 * interval))) // Its packets show that it lives.
+}
+
+// Silence while the agent itself stood still says nothing of the server.
+func TestPauseOfTheAgentIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	s.Resume(10 * time.Second)
+	is.Equal(s.Refuses(base.Add(10*time.Second)), None)
+}
+
+func TestUnansweredOpens(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	s.Opening(base)
+	s.Opening(base.Add(10 * time.Millisecond))
+	is.Equal(s.Refuses(base.Add(openWait)), None)
+	is.Equal(s.Refuses(base.Add(openWait+time.Millisecond)), Mute)
+	s.Heard(base.Add(200 * time.Millisecond))
+	is.Equal(s.Refuses(base.Add(200*time.Millisecond)), None)
+}
+
+func TestMeanIgnoresQueuedAndRareLongRequests(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	is.Equal(s.Mean(), time.Duration(0))
+	for range 50 {
+		s.Finish(20*time.Millisecond, 1)
+	}
+	s.Finish(2*time.Second, 1) // An outlier.
+	s.Finish(time.Second, 9)   // Stood in the server's queue.
+	is.True(s.Mean() < 25*time.Millisecond)
+	is.True(s.Mean() >= 20*time.Millisecond)
+}
