--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -43,9 +43,10 @@
 // saved is the list of a server's flows as it is kept.
 type saved struct {
 	// ID and Born name the start of the server that the flows belong to.
-	ID   string    `cbor:"1,keyasint"`
-	Born time.Time `cbor:"2,keyasint"`
-	Keys []byte    `cbor:"3,keyasint"`
+	ID string `cbor:"1,keyasint"`
+	// Born is in Unix nanoseconds: the encoding of times keeps only seconds.
+	Born int64  `cbor:"2,keyasint"`
+	Keys []byte `cbor:"3,keyasint"`
 }
 
 // list tells an entry all flows that the server holds, and those that it was offered.
@@ -142,7 +143,7 @@
 	if !known {
 		return nil, false
 	}
-	s := saved{ID: an.ID, Born: an.Born}
+	s := saved{ID: an.ID, Born: an.Born.UnixNano()}
 	fresh := 0
 	a.flows.Each(func(k flow.Key, f *held) {
 		if f.phase != open || f.start != a.server.Starts() || (!last && now.Sub(f.opened) < saveAge) {
@@ -216,7 +217,7 @@
 	if !known {
 		return false
 	}
-	if an.ID != s.ID || !an.Born.Equal(s.Born) {
+	if an.ID != s.ID || an.Born.UnixNano() != s.Born {
 		a.opts.Log.Info("saved list of flows is of another start of the server", zap.String("id", an.ID), zap.String("saved", s.ID))
 		return true
 	}
