--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -43,7 +43,7 @@
 
 func commands() []*command {
 	return []*command{
-		entryCommand(), agentCommand(), relayCommand(), deliverCommand(), contractCommand(), keyCommand(), callCommand(), loadCommand(), devCommand(),
+		entryCommand(), agentCommand(), relayCommand(), deliverCommand(), contractCommand(), keyCommand(), callCommand(), loadCommand(), devCommand(), soakCommand(),
 		configCommand(), versionCommand(),
 	}
 }
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -20,7 +20,7 @@
 	// saveTick is how often the agent looks whether the list of flows is worth saving.
 	saveTick = 500 * time.Millisecond
 	// saveEvery is the shortest time between two saves: a call to the store for each agent.
-	saveEvery = 4 * time.Second
+	saveEvery = 6 * time.Second
 	// saveAge is the age from which a flow is saved: most that carry one request are over by then.
 	saveAge = time.Second
 	// savePart is the part of the flows that must be new since the last save for another one.
--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -14,8 +14,10 @@
 	readPart = 0.25
 	// spreadPart is the part of the allowed age over which the processes' reads are spread.
 	spreadPart = 0.15
+	// toldPart is the part of the allowed age after which a process reads that others tell of the configuration.
+	toldPart = 0.5
 	// retryPart is the part of the allowed age after which a failed read is repeated.
-	retryPart = 0.1
+	retryPart = 0.2
 )
 
 // Clock keeps the age of the configuration. Its owner serializes access.
@@ -38,11 +40,15 @@
 	c.version, c.confirmed, c.spread = version, at, random
 }
 
-// Due reports whether the process shall read now, and notes the attempt.
-func (c *Clock) Due(now time.Time) bool {
+// Due reports whether the process shall read now, and notes the attempt. A process that others tell of the
+// configuration leaves them the first turn.
+func (c *Clock) Due(now time.Time, told bool) bool {
 	if now.Sub(c.tried) < c.part(retryPart) {
 		return false
 	}
+	if told && !c.confirmed.IsZero() && now.Sub(c.confirmed) < c.part(toldPart) {
+		return false
+	}
 	if !c.confirmed.IsZero() && now.Sub(c.confirmed) < c.part(readPart)+time.Duration(c.spread*float64(c.part(spreadPart))) {
 		return false
 	}
--- a/internal/fresh/fresh_test.go
+++ b/internal/fresh/fresh_test.go
@@ -14,7 +14,7 @@
 	is := is.New(t)
 	c := New(bound)
 	is.True(c.Age(time.Unix(1000, 0)) > time.Hour)
-	is.True(c.Due(time.Unix(1000, 0)))
+	is.True(c.Due(time.Unix(1000, 0), false))
 }
 
 func TestOlderNewsChangeNothing(t *testing.T) {
@@ -30,9 +30,9 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	c := New(bound)
-	is.True(c.Due(now))
-	is.True(!c.Due(now.Add(50 * time.Millisecond)))
-	is.True(c.Due(now.Add(bound / 5)))
+	is.True(c.Due(now, false))
+	is.True(!c.Due(now.Add(50*time.Millisecond), false))
+	is.True(c.Due(now.Add(bound/5), false))
 }
 
 // With no watch at all, a fleet that shares its knowledge reads about once a second together, and no process is older
@@ -51,7 +51,7 @@
 	for d := time.Duration(0); d < 30*time.Second; d += tick {
 		now := start.Add(d)
 		for i, c := range clocks {
-			if c.Due(now) {
+			if c.Due(now, false) {
 				reads++
 				c.Confirm(1, now, rnd.Float64())
 				for j := range clocks { // A heartbeat tells the others, within the interval of heartbeats.
@@ -67,3 +67,14 @@
 	is.True(reads < 30*3)
 	is.True(oldest < bound/2)
 }
+
+// A process that others tell of the configuration reads only when they don't.
+func TestToldProcessReadsLate(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	c := New(bound)
+	is.True(c.Due(now, true)) // It has none yet.
+	c.Confirm(1, now, 0)
+	is.True(!c.Due(now.Add(bound*45/100), true))
+	is.True(c.Due(now.Add(bound*55/100), true))
+}
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -65,7 +65,7 @@
 // keepTable reads the configuration when its age wants it.
 func (n *Node) keepTable(ctx context.Context) error {
 	failing := false
-	return timer.Every(ctx, readTick, func() {
+	read := func() {
 		asked := false
 		select {
 		case <-n.read:
@@ -73,7 +73,7 @@
 		default:
 		}
 		n.mu.Lock()
-		due := n.clock.Due(time.Now())
+		due := n.clock.Due(time.Now(), n.opts.Load != nil && len(n.peers) > 0)
 		n.mu.Unlock()
 		if !due && !asked {
 			return
@@ -87,7 +87,9 @@
 			failing = err != nil
 			n.logDependency(failing, err)
 		}
-	})
+	}
+	read()
+	return timer.Every(ctx, readTick, read)
 }
 
 func (n *Node) logDependency(failing bool, err error) {
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -101,7 +101,7 @@
 }
 
 func (s *Server) take(a Announcement, now time.Time) {
-	s.last, s.known, s.beat = a, true, now
+	s.last, s.known, s.beat, s.opens = a, true, now, 0
 	s.coldUntil = now.Add(a.Cold)
 }
 
@@ -120,6 +120,16 @@
 	s.mean, s.samples, s.check = 0, 0, 0
 }
 
+// firstCall is the highest sequence of a server's first heartbeat.
+const firstCall = 1
+
+// IsFirst reports whether a heartbeat is the first one of a server that has just started, by a clock that it shares. Such
+// a server holds no flows: it takes none before an agent has acknowledged a heartbeat.
+func (a *Announcement) IsFirst(clock time.Time, within time.Duration) bool {
+	age := clock.Sub(a.Born)
+	return a.Sequence <= firstCall && !a.Born.IsZero() && age >= 0 && age < within
+}
+
 // Withdraw notes that the server id leaves for good. It reports whether that is this start of the server.
 func (s *Server) Withdraw(id string) bool {
 	if !s.known || s.last.ID != id {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -159,3 +159,16 @@
 	is.True(s.Mean() < 25*time.Millisecond)
 	is.True(s.Mean() >= 20*time.Millisecond)
 }
+
+// A server that left opens unanswered gets new flows again after its next heartbeat: nothing else would show that it is
+// back when no flow is open.
+func TestHeartbeatEndsMuteness(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustAnnounce(t, s, beat(1), base)
+	s.Opening(base)
+	s.Opening(base)
+	is.Equal(s.Refuses(base.Add(interval)), Mute)
+	mustAnnounce(t, s, beat(2), base.Add(interval))
+	is.Equal(s.Refuses(base.Add(interval)), None)
+}
