--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -54,21 +54,14 @@
 	for i := range *runs {
 		opts := soak.Options{
 			Seed: *seed + uint64(i), Length: time.Duration(*minutes * float64(time.Minute)), Entries: *entries, Servers: *servers,
-			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Binary: binary, Dir: filepath.Join(base, fmt.Sprint(*seed+uint64(i))), Out: inv.stdout,
+			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Binary: binary,
+			Dir: filepath.Join(base, fmt.Sprint(*seed+uint64(i))), Out: inv.stdout,
 		}
-		if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
-			return errors.Wrap(err, "-dir")
-		}
-		r, err := soak.Run(ctx, opts)
+		ok, err := inv.soakOnce(ctx, opts)
 		if err != nil {
 			return err
 		}
-		inv.printf("soak: seed=%d sent=%d served=%d late=%d failed=%d faults=%d recovered=%.3f broken=%d dir=%s\n",
-			r.Seed, r.Sent, r.Served, r.Late, r.Failed, r.Faults, r.Recovered, len(r.Findings), opts.Dir)
-		for _, f := range r.Findings {
-			inv.printf("  broken: %s\n", f)
-		}
-		if !r.OK() {
+		if !ok {
 			failed++
 		}
 	}
@@ -77,3 +70,20 @@
 	}
 	return nil
 }
+
+// soakOnce makes one run and prints its result; ok is false when it broke a promise.
+func (i *invocation) soakOnce(ctx context.Context, opts soak.Options) (ok bool, err error) {
+	if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
+		return false, errors.Wrap(err, "-dir")
+	}
+	r, err := soak.Run(ctx, opts)
+	if err != nil {
+		return false, err
+	}
+	i.printf("soak: seed=%d sent=%d served=%d late=%d failed=%d faults=%d recovered=%.3f broken=%d dir=%s\n",
+		r.Seed, r.Sent, r.Served, r.Late, r.Failed, r.Faults, r.Recovered, len(r.Findings), opts.Dir)
+	for _, f := range r.Findings {
+		i.printf("  broken: %s\n", f)
+	}
+	return r.OK(), nil
+}
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -131,9 +131,10 @@
 	}
 	a.clientPort = opts.Clients.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", a.counts)
-	opts.Vars.Set("flows", expvar.Func(func() any { return a.Load().Flows }))
+	opts.Vars.Set("flows", expvar.Func(func() any { return a.sizes().flows }))
+	opts.Vars.Set("requests_waiting", expvar.Func(func() any { return a.sizes().waiting }))
+	opts.Vars.Set("requests_running", expvar.Func(func() any { return a.sizes().running }))
 	opts.Vars.Set("request_wait", a.waits)
-	opts.Vars.Set("pending", expvar.Func(func() any { return a.Load().Pending }))
 	return a
 }
 
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -214,7 +214,7 @@
 	for a, p := range n.peers {
 		if !p.silent && now.Sub(p.heard) > silentAfter {
 			p.silent = true
-			n.opts.Log.Info("process is silent", zap.Stringer("process", a), zap.Duration("for", now.Sub(p.heard)))
+			n.opts.Log.Info("process is silent", zap.Stringer("peer", a), zap.Duration("for", now.Sub(p.heard)))
 		}
 		if now.Sub(p.heard) > lostAfter {
 			r, ok := n.view.Get(a)
@@ -283,16 +283,7 @@
 		n.mu.Unlock()
 		return
 	}
-	if p.silent {
-		n.opts.Log.Info("process is heard again", zap.Stringer("process", s.Record.Packets), zap.Duration("after", now.Sub(p.heard)))
-	}
-	p.heard, p.silent, p.tells, p.version = now, false, true, s.Version
-	if s.Record.State == view.Draining || s.Record.State == view.Gone {
-		p.away = now
-	}
-	if s.Server != nil {
-		p.load, p.sent = *s.Server, 0
-	}
+	p.tell(&s, now, n.opts.Log)
 	newer := s.Version > n.version()
 	if !newer && s.Version == n.version() && s.Version > 0 {
 		n.clock.Confirm(s.Version, now.Add(-s.Age), rand.Float64())
@@ -308,6 +299,20 @@
 	}
 }
 
+// tell notes what a process tells of itself.
+func (p *peer) tell(s *ctrl.State, now time.Time, log *zap.Logger) {
+	if p.silent {
+		log.Info("process is heard again", zap.Stringer("peer", s.Record.Packets), zap.Duration("after", now.Sub(p.heard)))
+	}
+	p.heard, p.silent, p.tells, p.version = now, false, true, s.Version
+	if s.Record.State == view.Draining || s.Record.State == view.Gone {
+		p.away = now
+	}
+	if s.Server != nil {
+		p.load, p.sent = *s.Server, 0
+	}
+}
+
 // meet merges the record of a process that was heard, and returns what is kept of it; nil when the record is old.
 func (n *Node) meet(r view.Record, now time.Time) *peer {
 	old, known := n.view.Get(r.Packets)
@@ -316,7 +321,7 @@
 	}
 	restarted := known && old.Incarnation < r.Incarnation
 	if n.view.Merge(r, now) && (!known || restarted || old.State != r.State) {
-		n.opts.Log.Info("process seen", zap.Stringer("process", r.Packets), zap.Uint8("role", uint8(r.Role)),
+		n.opts.Log.Info("process seen", zap.Stringer("peer", r.Packets), zap.Stringer("peer_role", r.Role),
 			zap.String("domain", r.Domain), zap.Stringer("state", r.State), zap.Uint64("incarnation", r.Incarnation),
 			zap.Bool("restarted", restarted))
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,8 +38,6 @@
 	freshAge = 1500 * time.Millisecond
 	// lastCopy is the number of the last copy of an opening packet that a client sends.
 	lastCopy = 2
-	// socketBuffer holds the packets of some hundred milliseconds, in bytes.
-	socketBuffer = 1 << 20
 )
 
 // Format reads and makes packets of the platform.
--- a/internal/view/record.go
+++ b/internal/view/record.go
@@ -22,6 +22,18 @@
 	Agent Role = 2
 )
 
+// String returns the role's name.
+func (r Role) String() string {
+	switch r {
+	case Entry:
+		return "entry"
+	case Agent:
+		return "agent"
+	default:
+		return "unknown"
+	}
+}
+
 // State is a process's state. At the same version a later state wins.
 type State uint8
 
