--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -340,3 +340,16 @@
 	other.agent.loadList(context.Background())
 	other.Equal(other.verdict(), seek.Perhaps)
 }
+
+// A flow that the agent learns from the server's packets before the server's first heartbeat is a flow of that server:
+// the first heartbeat after a restart of the agent is no start of the server.
+func TestFirstHeartbeatKeepsLearnedFlows(t *testing.T) {
+	w := newWorld(t, false)
+	w.back(5, flow.Head{Ack: true, Len: 50})
+	w.Equal(w.next(w.caller), []byte{5})
+	w.announce(nil)
+	w.Equal(w.verdict(), seek.Held)
+	w.from(hop.Head{Kind: hop.Carry}, 6, ack)
+	w.Equal(w.next(w.server), []byte{6})
+	w.Equal(w.next(w.caller), nil) // No reset.
+}
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -111,9 +111,12 @@
 	return s.gone || now.Sub(s.beat) > missedBeats*s.opts.Interval
 }
 
-// restart forgets what a former start of the server has shown.
+// restart forgets what a former start of the server has shown. The first start that becomes known is none: flows may
+// have been seen before.
 func (s *Server) restart(now time.Time) {
-	s.starts++
+	if s.known {
+		s.starts++
+	}
 	s.gone = false
 	s.opens = 0
 	s.heard = now
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -105,7 +105,7 @@
 	return s.gone || (now.Sub(s.beat) > lapse && now.Sub(s.heard) > lapse)
 }
 
-// Starts returns how many starts of the server are known; flows of an earlier start are lost.
+// Starts returns how often the server was seen to start again; flows of an earlier start are lost.
 func (s *Server) Starts() int { return s.starts }
 
 // Heard notes a packet of the server's own.
