--- a/internal/soak/deploy.go
+++ b/internal/soak/deploy.go
@@ -20,7 +20,7 @@
 	stable     = 4 * time.Second
 	drainBound = 3 * time.Second
 	applyBound = 3 * time.Second
-	heartbeat  = 500 * time.Millisecond
+	heartbeat  = time.Second
 	idleTime   = 15 * time.Second
 	probeEvery = 500 * time.Millisecond
 	// graceTime is how long a process may take to stop.
@@ -311,17 +311,17 @@
 	}
 	d.mu.Unlock()
 	for p, s := range servers {
-		if s.Holds(client, service) && p.calm(now, stable) && d.calmAt(by, now) {
+		if s.Holds(client, service) && p.unharmed(now, stable) && d.unharmedAt(by, now) {
 			d.check.broke(kept, "flow from %s to %s was reset by %s while server %s beside %s holds it", client, service, by, s.ID(), p.name)
 		}
 	}
 }
 
-// calmAt reports whether nothing was done to the process of an IP for a while.
-func (d *deployment) calmAt(ip netip.Addr, now time.Time) bool {
+// unharmedAt reports whether nothing but planned work was done to the process of an IP for a while.
+func (d *deployment) unharmedAt(ip netip.Addr, now time.Time) bool {
 	for _, p := range d.all() {
 		if p.ip == ip {
-			return p.calm(now, stable)
+			return p.unharmed(now, stable)
 		}
 	}
 	return true
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -63,14 +63,8 @@
 	}
 }
 
-// restart starts a process that has ended, once it has.
+// restart starts a process, unless another fault has done so.
 func (d *deployment) restart(p *process) {
-	for range 100 {
-		if !p.running() {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
 	if err := p.start(); err != nil {
 		d.check.broke(exits, "%s", err)
 	}
@@ -78,8 +72,7 @@
 
 func (d *deployment) kill(ctx context.Context, r *rand.Rand, ps []*process) {
 	for _, p := range ps {
-		p.signal(syscall.SIGCONT)
-		p.signal(syscall.SIGKILL)
+		p.end()
 	}
 	between(ctx, r, 300*time.Millisecond, 2*time.Second)
 	for _, p := range ps {
@@ -91,14 +84,11 @@
 // process that is away counts as disturbed.
 func (d *deployment) roll(ctx context.Context, r *rand.Rand, ps []*process) {
 	for _, p := range ps {
-		p.signal(syscall.SIGTERM)
-		ended := time.Now()
-		for p.running() {
-			if time.Since(ended) > graceTime+time.Second {
-				d.check.broke(exits, "%s did not stop within its grace time", p.name)
-				p.end()
-			}
-			time.Sleep(20 * time.Millisecond)
+		select {
+		case <-p.signal(syscall.SIGTERM):
+		case <-time.After(graceTime + time.Second):
+			d.check.broke(exits, "%s did not stop within its grace time", p.name)
+			p.end()
 		}
 		between(ctx, r, 200*time.Millisecond, 500*time.Millisecond)
 		d.restart(p)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -41,10 +41,13 @@
 	mu sync.Mutex
 	// cmd is the running process, nil while there is none; expected says that the soak ended it.
 	cmd      *exec.Cmd
+	done     chan struct{}
 	expected bool
 	paused   bool
-	// harmed is when something was last done to the process or its links.
-	harmed time.Time
+	// planned says that the process was told to stop, and harmed when something else was last done to it or its links.
+	planned bool
+	harmed  time.Time
+	started time.Time
 	// exits counts ends that the soak did not cause.
 	exits int
 }
@@ -73,60 +76,61 @@
 	if err := cmd.Start(); err != nil {
 		return errors.Wrapf(err, "start %s", p.name)
 	}
-	p.cmd, p.expected, p.paused, p.harmed = cmd, false, false, time.Now()
-	go p.wait(cmd)
+	if !p.planned {
+		p.harmed = time.Now()
+	}
+	p.done = make(chan struct{})
+	p.cmd, p.expected, p.paused, p.planned, p.started = cmd, false, false, false, time.Now()
+	go p.wait(cmd, p.done)
 	return nil
 }
 
-func (p *process) wait(cmd *exec.Cmd) {
+func (p *process) wait(cmd *exec.Cmd, done chan struct{}) {
 	err := cmd.Wait()
+	defer close(done)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.expected {
 		p.exits++
 		_, _ = fmt.Fprintf(p.log, "soak: process ended by itself: %v\n", err)
 	}
-	p.cmd, p.harmed = nil, time.Now()
+	p.cmd = nil
+	if !p.planned {
+		p.harmed = time.Now()
+	}
 }
 
-// signal sends a signal; one that ends the process is remembered as the soak's doing.
-func (p *process) signal(sig syscall.Signal) {
+// signal sends a signal; one that ends the process is remembered as the soak's doing. The channel is closed when the
+// process has ended.
+func (p *process) signal(sig syscall.Signal) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
-		return
+		ended := make(chan struct{})
+		close(ended)
+		return ended
 	}
 	switch sig {
-	case syscall.SIGKILL, syscall.SIGTERM:
-		p.expected = true
+	case syscall.SIGKILL:
+		p.expected, p.planned = true, false
+	case syscall.SIGTERM:
+		p.expected, p.planned = true, true
 	case syscall.SIGSTOP:
 		p.paused = true
 	case syscall.SIGCONT:
 		p.paused = false
 	}
-	if sig != syscall.SIGHUP {
+	if sig != syscall.SIGHUP && sig != syscall.SIGTERM {
 		p.harmed = time.Now()
 	}
 	_ = p.cmd.Process.Signal(sig) // It may have ended meanwhile.
-}
-
-// running reports whether there is a process.
-func (p *process) running() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.cmd != nil
+	return p.done
 }
 
 // end ends the process and waits for its end.
 func (p *process) end() {
 	p.signal(syscall.SIGCONT)
-	p.signal(syscall.SIGKILL)
-	for range 100 {
-		if !p.running() {
-			return
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	<-p.signal(syscall.SIGKILL)
 }
 
 // touch notes that something was done to the process's links.
@@ -136,11 +140,18 @@
 	p.harmed = time.Now()
 }
 
-// calm reports whether nothing was done to the process for a while.
+// calm reports whether the process has run undisturbed for a while.
 func (p *process) calm(now time.Time, window time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cmd != nil && !p.paused && now.Sub(p.harmed) > window
+	return p.cmd != nil && !p.paused && now.Sub(p.harmed) > window && now.Sub(p.started) > window
+}
+
+// unharmed reports whether nothing but planned work was done to the process for a while.
+func (p *process) unharmed(now time.Time, window time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.paused && now.Sub(p.harmed) > window
 }
 
 // edit changes the settings file without changing what it says.
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -27,6 +27,8 @@
 	{"kill-all", 2, "kill all", 5 * time.Second, "open flows are found again after all processes were killed"},
 	{"store", 3, "store silent,store forgets,store revokes,configurations", 8 * time.Second, "configurations while the store fails"},
 	{"planned", 4, "roll entries,roll agents,server replaced", 8 * time.Second, "planned work alone breaks no flow"},
+	{"agents", 4, "roll agents", 8 * time.Second,
+		"flows learned before a server's first heartbeat were taken for those of an earlier start, and reset"},
 }
 
 func TestSoak(t *testing.T) {
