A server younger than a heartbeat interval is known to hold no flows

Cause: after a loss of power each dead flow was tried at the server of every agent, since restarted agents took their new servers for possible holders; first heartbeats came as the second or third call.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -224,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	if change == server.Started && (known || now.Sub(a.started) > 2*a.opts.Interval || an.IsFirst(now, a.opts.Interval/2)) {
+	if change == server.Started && (known || now.Sub(a.started) > 2*a.opts.Interval || an.IsNew(now, a.opts.Interval)) {
 		a.whole = now // The agent sees the server's whole life.
 	}
 	if change == server.Started {
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -67,6 +67,9 @@
 	if a.isWhole(now) {
 		head.Hops = hop.Whole
 	}
+	if t := a.opts.Members.Table(); t != nil {
+		head.Version = t.Version
+	}
 	a.counts.Add("listed", 1)
 	head.Verdict = seek.Opening
 	for len(offered) > 0 {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -290,3 +290,15 @@
 	w.says(w.two, hop.Head{Kind: hop.Answer, Verdict: seek.Held}, key)
 	w.Equal(w.kind(w.two), hop.Carry)
 }
+
+// An agent of another service that has this configuration can't have opened a flow of the route since it told all of its
+// flows: it is not asked again.
+func TestListOfAnotherServiceStaysTrue(t *testing.T) {
+	w := newWorld(t)
+	w.members.holders = w.members.holders[:1]
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), whole: true, version: 5}
+	w.packet(1, ack)
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.Equal(w.kind(w.two), hop.Kind(0))
+	w.True(w.isReset())
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -118,8 +118,13 @@
 	}
 }
 
-// listing is when an agent was last asked for all of its flows.
-type listing struct{ asked time.Time }
+// listing is when an agent was last asked for all of its flows, and whether its last answer was all that its server
+// held, under which configuration.
+type listing struct {
+	asked   time.Time
+	whole   bool
+	version uint64
+}
 
 const (
 	// listEvery is the shortest time between two questions for all of an agent's flows.
@@ -155,7 +160,8 @@
 		return
 	}
 	verdict := seek.Perhaps
-	if head.Hops&hop.Whole != 0 {
+	l.whole, l.version = head.Hops&hop.Whole != 0, head.Version
+	if l.whole {
 		verdict = seek.Denied
 	}
 	for key, s := range r.searches {
@@ -209,6 +215,13 @@
 	}
 	s.wide = true
 	s.Extend(all, now)
+	version := versionOf(r.opts.Members.Table())
+	for _, agent := range s.Unanswered() {
+		// An agent with this configuration opens no flow of the route any more, so that its list stays true.
+		if l := r.lists[agent]; l != nil && l.whole && l.version >= version {
+			s.Answer(agent, seek.Denied)
+		}
+	}
 	r.ask(key, s, now)
 	r.step(key, s, now)
 }
--- a/internal/server/announce.go
+++ b/internal/server/announce.go
@@ -123,14 +123,13 @@
 	s.mean, s.samples, s.check = 0, 0, 0
 }
 
-// firstCall is the highest sequence of a server's first heartbeat.
-const firstCall = 1
-
-// IsFirst reports whether a heartbeat is the first one of a server that has just started, by a clock that it shares. Such
-// a server holds no flows: it takes none before an agent has acknowledged a heartbeat.
-func (a *Announcement) IsFirst(clock time.Time, within time.Duration) bool {
+// IsNew reports whether a heartbeat shows that no agent has acknowledged one of this start of the server before, by a
+// clock that the server shares: after an acknowledged heartbeat the next one comes a whole interval later. Such a server
+// holds no flows.
+func (a *Announcement) IsNew(clock time.Time, interval time.Duration) bool {
+	const part = 0.8 // Heartbeats come somewhat early at times.
 	age := clock.Sub(a.Born)
-	return a.Sequence <= firstCall && !a.Born.IsZero() && age >= 0 && age < within
+	return a.Cold > 0 && !a.Born.IsZero() && age >= 0 && float64(age) < part*float64(interval)
 }
 
 // Withdraw notes that the server id leaves for good. It reports whether that is this start of the server.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -172,3 +172,18 @@
 	mustAnnounce(t, s, beat(2), base.Add(interval))
 	is.Equal(s.Refuses(base.Add(interval)), None)
 }
+
+// A server younger than a heartbeat interval has had none acknowledged; one whose age can't be told counts as old.
+func TestNewServer(t *testing.T) {
+	is := is.New(t)
+	a := beat(3)
+	a.Cold = time.Second
+	is.True(a.IsNew(born(200*time.Millisecond), interval))
+	is.True(!a.IsNew(born(interval), interval))
+	is.True(!a.IsNew(born(-time.Second), interval)) // The clock was stepped back.
+	a.Cold = 0
+	is.True(!a.IsNew(born(200*time.Millisecond), interval))
+}
+
+// born returns the time some while after the birth of the server of beat.
+func born(after time.Duration) time.Time { return base.Add(after) }
