--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -57,6 +57,9 @@
 			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Binary: binary,
 			Dir: filepath.Join(base, fmt.Sprint(*seed+uint64(i))), Out: inv.stdout,
 		}
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "soak")
+		}
 		ok, err := inv.soakOnce(ctx, opts)
 		if err != nil {
 			return err
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -228,6 +228,7 @@
 		a.whole = now // The agent sees the server's whole life.
 	}
 	if change == server.Started {
+		a.endFlows(func(f *held) bool { return f.start != a.server.Starts() }, "the server has started again")
 		select {
 		case a.starts <- struct{}{}:
 		default:
@@ -247,6 +248,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.server.Withdraw(id) {
+		a.endFlows(func(*held) bool { return true }, "the server has left")
 		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.Left))
 		a.noteReadiness(time.Now())
 	}
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -49,6 +49,8 @@
 	// opened is when the agent first saw the flow; saved says that the last saved list has it.
 	opened time.Time
 	saved  bool
+	// serverEnd is the sequence number after the server's last byte, which the client acknowledges next.
+	serverEnd uint32
 	// clientEnd is the sequence number after the client's last byte.
 	clientEnd uint32
 	seen      bool
@@ -176,6 +178,7 @@
 
 // serverData notes a packet of the server: its first bytes after a request begin the answer.
 func (a *Agent) serverData(key flow.Key, f *held, h flow.Head, now time.Time) {
+	f.serverEnd = h.Seq + uint32(h.Len)
 	if h.Fin {
 		f.serverFin = true
 	}
@@ -225,3 +228,28 @@
 	var room [hop.Size + flow.KeySize]byte
 	a.write(a.opts.Hops, head.PutKey(room[:0], key), f.entry)
 }
+
+// endFlows tells the clients of flows that the server has lost by starting again or leaving, also of those that are idle:
+// a request on such a flow would be lost, and one that must not be repeated would fail.
+func (a *Agent) endFlows(lost func(*held) bool, why string) {
+	var keys []flow.Key
+	a.flows.Each(func(k flow.Key, f *held) {
+		if (f.phase == open || f.phase == opening) && lost(f) {
+			keys = append(keys, k)
+		}
+	})
+	for _, k := range keys {
+		a.endFlow(k, a.flows.Peek(k).serverEnd)
+	}
+	if len(keys) > 0 {
+		a.opts.Log.Info("flows of the server are lost", zap.Int("flows", len(keys)), zap.String("reason", why))
+	}
+}
+
+// endFlow tells a client that its flow is lost; acknowledged is near the number that the client acknowledged last.
+func (a *Agent) endFlow(key flow.Key, acknowledged uint32) {
+	a.forget(key)
+	a.denied.Put(key, struct{}{}, time.Now())
+	a.counts.Add("flow_ended", 1)
+	a.reset(flow.Head{Src: key.Client(), Dst: key.Service(), Ack: true, AckNumber: acknowledged})
+}
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -45,8 +45,10 @@
 	// ID and Born name the start of the server that the flows belong to.
 	ID string `cbor:"1,keyasint"`
 	// Born is in Unix nanoseconds: the encoding of times keeps only seconds.
-	Born int64  `cbor:"2,keyasint"`
-	Keys []byte `cbor:"3,keyasint"`
+	Born int64 `cbor:"2,keyasint"`
+	// Keys are the flows' keys, and Ends what their clients acknowledge next, in the same order.
+	Keys []byte   `cbor:"3,keyasint"`
+	Ends []uint32 `cbor:"4,keyasint"`
 }
 
 // list tells an entry all flows that the server holds, and those that it was offered.
@@ -153,6 +155,7 @@
 			return
 		}
 		s.Keys = k.Append(s.Keys)
+		s.Ends = append(s.Ends, f.serverEnd)
 		if !f.saved {
 			fresh++
 		}
@@ -220,17 +223,29 @@
 	if !known {
 		return false
 	}
+	keys := hop.Keys(s.Keys)
+	if len(keys) != len(s.Ends) {
+		a.opts.Log.Warn("saved list of flows is damaged", zap.Int("keys", len(keys)), zap.Int("ends", len(s.Ends)))
+		return true
+	}
 	if an.ID != s.ID || an.Born.UnixNano() != s.Born {
-		a.opts.Log.Info("saved list of flows is of another start of the server", zap.String("id", an.ID), zap.String("saved", s.ID))
+		a.opts.Log.Info("flows of an earlier start of the server are lost", zap.Int("flows", len(keys)), zap.String("id", an.ID),
+			zap.String("saved", s.ID))
+		for i, k := range keys {
+			if a.flows.Peek(k) == nil {
+				a.endFlow(k, s.Ends[i])
+			}
+		}
 		return true
 	}
-	keys := hop.Keys(s.Keys)
-	for _, k := range keys {
+	for i, k := range keys {
 		if f := a.flows.Peek(k); f == nil || f.phase == tried {
 			if f != nil {
 				a.forget(k)
 			}
-			f = a.flows.Put(k, held{start: a.server.Starts(), service: route.Number(an.Service), opened: now, answered: true, saved: true}, now)
+			f = a.flows.Put(k, held{
+				start: a.server.Starts(), service: route.Number(an.Service), opened: now, answered: true, saved: true, serverEnd: s.Ends[i],
+			}, now)
 			a.setPhase(f, open)
 		}
 	}
