--- a/cmd/config.go
+++ b/cmd/config.go
@@ -45,18 +45,25 @@
 	if err != nil {
 		return "", errors.Wrap(err, "read settings")
 	}
-	if isAgent(text) {
+	switch {
+	case hasLine(text, "[agent]"):
 		_, err = sett.ParseAgent(file, text)
 		return "agent", err
+	case hasLine(text, "outbound ="):
+		_, err = sett.ParseDeliver(file, text)
+		return "agent for opaque flows", err
+	case hasLine(text, "hops ="):
+		_, err = sett.ParseRelay(file, text)
+		return "entry for opaque flows", err
 	}
 	_, err = sett.ParseEntry(file, text)
 	return "entry", err
 }
 
-// isAgent reports whether settings are those of an agent: they have its section.
-func isAgent(text []byte) bool {
+// hasLine reports whether a line begins with a text that only the settings of one role have.
+func hasLine(text []byte, start string) bool {
 	for _, line := range bytes.Split(text, []byte("\n")) {
-		if string(bytes.TrimSpace(line)) == "[agent]" {
+		if bytes.HasPrefix(bytes.TrimSpace(line), []byte(start)) {
 			return true
 		}
 	}
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -15,6 +15,8 @@
 const (
 	// spareRequests is how many requests more than its slots a server gets, so that it never waits for the agent.
 	spareRequests = 1
+	// longWait is from when a wait is logged: about the latency objectives of the shortest routes.
+	longWait = 100 * time.Millisecond
 	// stuckAfter is how long a request may keep a slot without an answer: long against the longest work.
 	stuckAfter = 1500 * time.Millisecond
 )
@@ -167,7 +169,13 @@
 			a.queue.Remove(key)
 			continue
 		}
-		a.waits.RecordDuration(now.Sub(f.began))
+		waited := now.Sub(f.began)
+		a.waits.RecordDuration(waited)
+		if waited > longWait {
+			a.opts.Flows.Info("request waited", zap.Stringer("flow", key), zap.Duration("waited", waited),
+				zap.Int("still_waiting", a.queue.Waiting()), zap.Int("running", a.queue.Running()), zap.Int("slots", a.server.Slots()),
+				zap.Duration("service", a.server.Mean()))
+		}
 		f.waits, f.sent, f.among = false, now, a.queue.Running()
 		for _, packet := range f.kept {
 			a.deliver(packet)
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -4,6 +4,9 @@
 	"container/heap"
 	"math/rand/v2"
 	"net/netip"
+	"os"
+	"regexp"
+	"strconv"
 	"testing"
 	"time"
 
@@ -188,3 +191,51 @@
 	is.True(chosen < least)
 	is.True(chosen < hash/2)
 }
+
+// A logged choice can be made again from what was logged.
+func TestTraceMakesTheChoiceAgain(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(5, 6))
+	for range 200 {
+		var members []Member
+		for i := range 9 {
+			m := ready(i, Load{
+				Pending: rnd.IntN(9), Flows: rnd.IntN(90), Slots: 1 + rnd.IntN(4), Service: time.Duration(rnd.IntN(50_000_000)),
+				First: 9 * rnd.Float64(), Repeated: 30 * rnd.Float64(), Cold: rnd.IntN(5) == 0, Check: time.Duration(rnd.IntN(2_000_000)),
+			})
+			m.Near, m.Ready, m.Age, m.Sent = rnd.IntN(2) == 0, rnd.IntN(5) > 0, time.Duration(rnd.IntN(200_000_000)), rnd.IntN(4)
+			members = append(members, m)
+		}
+		f := Flow{Hash: rnd.Uint64(), Long: rnd.IntN(2) == 0, Objective: 200 * time.Millisecond}
+		again, err := ParseTrace(Trace(members))
+		is.NoErr(err)
+		is.Equal(Choose(f, again), Choose(f, members))
+	}
+	_, err := ParseTrace("10.0.0.1:1,true")
+	is.True(err != nil)
+	_, err = ParseTrace(Trace([]Member{ready(1, Load{})}) + "x")
+	is.True(err != nil)
+}
+
+// TestLoggedLine makes the choice of a line of a real log again.
+func TestLoggedLine(t *testing.T) {
+	is := is.New(t)
+	line, err := os.ReadFile("testdata/placed.log")
+	is.NoErr(err)
+	field := func(name string) string {
+		m := regexp.MustCompile(name + `="?([^" \n]*)`).FindSubmatch(line)
+		if m == nil {
+			t.Fatalf("the line has no %s", name)
+		}
+		return string(m[1])
+	}
+	members, err := ParseTrace(field("members"))
+	is.NoErr(err)
+	hash, err := strconv.ParseUint(field("hash"), 10, 64)
+	is.NoErr(err)
+	objective, err := time.ParseDuration(field("objective"))
+	is.NoErr(err)
+	choice := Choose(Flow{Hash: hash, Long: field("long") == "true", Objective: objective}, members)
+	is.Equal(members[choice.First].Agent.String(), field("agent"))
+	is.Equal(members[choice.Second].Agent.String(), field("second"))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -250,31 +250,28 @@
 	}
 	service := rt.ServiceOf(key.Hash())
 	members := r.opts.Members.Members(route.Number(service))
-	choice := pick.Choose(pick.Flow{
-		Hash: key.Hash(), Long: r.habit(rt.Name).Long(), Objective: rt.Objective, Avoid: avoid,
-	}, members)
+	want := pick.Flow{Hash: key.Hash(), Long: r.habit(rt.Name).Long(), Objective: rt.Objective, Avoid: avoid}
+	choice := pick.Choose(want, members)
 	if choice.First < 0 {
 		r.unserved(h, service, len(members))
 		return
 	}
-	first := &members[choice.First]
-	second := netip.AddrPort{}
+	first, second := members[choice.First].Agent, netip.AddrPort{}
 	if choice.Second >= 0 {
 		second = members[choice.Second].Agent
 	}
 	r.flows.Put(key, placed{
-		agent: first.Agent, service: route.Number(service), opened: now, copies: h.AckNumber, route: rt.Name,
+		agent: first, service: route.Number(service), opened: now, copies: h.AckNumber, route: rt.Name,
 	}, now)
-	r.opts.Members.Sent(first.Agent)
+	r.opts.Members.Sent(first)
 	r.counts.Add("opened", 1)
-	if r.opts.Flows.Core().Enabled(zap.InfoLevel) {
-		r.opts.Flows.Info("flow placed", zap.Stringer("flow", key), zap.String("route", rt.Name),
-			zap.Stringer("agent", first.Agent), zap.Stringer("second", second), zap.Uint32("copy", h.AckNumber),
-			zap.Int("pending", first.Load.Pending), zap.Int("flows", first.Load.Flows),
-			zap.Duration("service", first.Load.Service), zap.Duration("age", first.Age), zap.Int("sent", first.Sent),
-			zap.Bool("near", first.Near), zap.Int("members", len(members)))
+	if line := r.opts.Flows.Check(zap.InfoLevel, "flow placed"); line != nil {
+		line.Write(zap.Stringer("flow", key), zap.String("route", rt.Name), zap.Stringer("agent", first),
+			zap.Stringer("second", second), zap.Uint32("copy", h.AckNumber), zap.Uint64("hash", want.Hash), zap.Bool("long", want.Long),
+			zap.Duration("objective", want.Objective), zap.Stringer("avoid", avoid),
+			zap.Uint64("version", versionOf(r.opts.Members.Table())), zap.String("members", pick.Trace(members)))
 	}
-	r.sendOpen(first.Agent, second, route.Number(service), b)
+	r.sendOpen(first, second, route.Number(service), b)
 }
 
 // unserved handles an opening packet for a service of which no backend server takes new flows. The client's copies
--- a/internal/sett/sett_test.go
+++ b/internal/sett/sett_test.go
@@ -86,7 +86,7 @@
 		listed[m[1]] = true
 	}
 	known := map[string]bool{}
-	for _, settings := range []any{EntryFile{}, AgentFile{}} {
+	for _, settings := range []any{EntryFile{}, AgentFile{}, RelayFile{}, DeliverFile{}} {
 		for _, key := range keysOf(reflect.TypeOf(settings), "") {
 			known[key] = true
 		}
@@ -96,7 +96,9 @@
 
 func TestSamplesNameEveryKey(t *testing.T) {
 	is := is.New(t)
-	for file, settings := range map[string]any{"entry": EntryFile{}, "agent": AgentFile{}} {
+	for file, settings := range map[string]any{
+		"entry": EntryFile{}, "agent": AgentFile{}, "relay": RelayFile{}, "deliver": DeliverFile{},
+	} {
 		text, err := os.ReadFile("../../conf/" + file + ".toml")
 		is.NoErr(err)
 		plain := strings.ReplaceAll(string(text), "\n# ", "\n")
@@ -108,3 +110,28 @@
 		}
 	}
 }
+
+// Bad settings of the processes for opaque flows are all named, each with its key and value.
+func TestBadOpaqueSettings(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("testdata/bad-deliver.toml")
+	is.NoErr(err)
+	_, err = ParseDeliver("bad-deliver.toml", text)
+	is.True(err != nil)
+	want, rerr := os.ReadFile("testdata/bad-deliver.golden")
+	is.NoErr(rerr)
+	is.Equal(err.Error()+"\n", string(want))
+}
+
+func TestSamplesOfOpaqueSettingsAreGood(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../conf/relay.toml")
+	is.NoErr(err)
+	relay, err := ParseRelay("relay.toml", text)
+	is.NoErr(err)
+	is.Equal(len(relay.Seeds()), 1) // The other host is the instance itself.
+	text, err = os.ReadFile("../../conf/deliver.toml")
+	is.NoErr(err)
+	_, err = ParseDeliver("deliver.toml", text)
+	is.NoErr(err)
+}
