--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -160,7 +160,7 @@
 // dispatch gives waiting requests to the server as long as it has room.
 func (a *Agent) dispatch(now time.Time) {
 	for {
-		key, ok := a.queue.Next(now, a.server.Slots()+spareRequests, a.server.Mean())
+		key, ok := a.queue.Next(now, a.server.Slots()+spareRequests, a.server.Expected(now))
 		if !ok {
 			return
 		}
--- a/internal/memb/member.go
+++ b/internal/memb/member.go
@@ -118,6 +118,18 @@
 	return len(n.peers) > 0 && silent*2 < len(n.peers)
 }
 
+// Serves reports whether an agent that is heard has a backend server that takes new flows.
+func (n *Node) Serves() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		if p.load.Ready && !p.silent {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) known() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,6 +58,8 @@
 	Sent(agent netip.AddrPort)
 	Dead(agent netip.AddrPort) bool
 	Hears() bool
+	// Serves reports whether any backend server takes new flows.
+	Serves() bool
 }
 
 // Options are what a Relay needs.
@@ -129,7 +131,7 @@
 }
 
 // Ready reports whether the entry could serve a new flow.
-func (r *Relay) Ready() bool { return r.opts.Members.Table() != nil && r.opts.Members.Hears() }
+func (r *Relay) Ready() bool { return r.opts.Members.Table() != nil && r.opts.Members.Serves() }
 
 // Configure takes a newer configuration over.
 func (r *Relay) Configure(t *route.Table) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -46,6 +46,7 @@
 func (m *members) Everyone(int) ([]seek.Candidate, bool) { return m.all, true }
 func (m *members) Sent(netip.AddrPort)                   {}
 func (m *members) Dead(a netip.AddrPort) bool            { return m.dead[a] }
+func (m *members) Serves() bool                          { return len(m.members) > 0 }
 func (m *members) Hears() bool                           { return !m.alone }
 
 var (
@@ -302,3 +303,13 @@
 	w.Equal(w.kind(w.two), hop.Kind(0))
 	w.True(w.isReset())
 }
+
+func TestReadyOnlyWhenAFlowCouldBeServed(t *testing.T) {
+	w := newWorld(t)
+	w.True(w.relay.Ready())
+	w.members.members = nil
+	w.True(!w.relay.Ready())
+	w.members.members = []pick.Member{{}}
+	w.members.table = nil
+	w.True(!w.relay.Ready())
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,9 @@
 	serviceWeight = 0.05
 	// trustedSamples is how many requests must be seen before their mean says something.
 	trustedSamples = 5
+	// defaultService is the service time while none is known, coldFactor how much slower a server is right after its start.
+	defaultService = 25 * time.Millisecond
+	coldFactor     = 1.5
 	// outlier bounds a sample, in means: a rare long request says little of the server.
 	outlier = 4
 )
@@ -161,6 +164,18 @@
 	return s.mean
 }
 
+// Expected returns how long a request is expected to take now.
+func (s *Server) Expected(now time.Time) time.Duration {
+	d := s.Mean()
+	if d == 0 {
+		d = defaultService
+	}
+	if s.Cold(now) {
+		d = time.Duration(coldFactor * float64(d))
+	}
+	return d
+}
+
 // Checked notes how long the server took to answer a health check while it had nothing else to do.
 func (s *Server) Checked(took time.Duration) {
 	if s.check == 0 || took < s.check {
