An entry that has just started resets nothing

It must have read the directory and been up for a second, or up for six. Ruled out: the agent's own answer (it held the flow).

--- /dev/null
+++ b/internal/memb/memb_test.go
@@ -0,0 +1,168 @@
+package memb
+
+import (
+	"context"
+	"expvar"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+)
+
+const bound = 3 * time.Second
+
+// directory is a directory in memory.
+type directory struct {
+	records []view.Record
+	puts    int
+}
+
+func (d *directory) Put(_ context.Context, r view.Record) error {
+	d.puts++
+	d.records = append(d.records, r)
+	return nil
+}
+func (*directory) Keep(context.Context) error                    { return nil }
+func (*directory) Interval() time.Duration                       { return time.Minute }
+func (d *directory) List(context.Context) ([]view.Record, error) { return d.records, nil }
+func (*directory) Leave(context.Context) error                   { return nil }
+
+var (
+	self  = netip.MustParseAddrPort("127.0.0.1:1")
+	other = netip.MustParseAddrPort("127.0.0.2:1")
+)
+
+func newNode(t *testing.T, d *directory) *Node {
+	t.Helper()
+	is := is.New(t)
+	secret, err := fleet.SecretFromText("a secret for tests only")
+	is.NoErr(err)
+	conf, err := secret.TLS()
+	is.NoErr(err)
+	ln, link, err := ctrl.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"), conf, ctrl.NewCodec(secret), new(expvar.Map))
+	is.NoErr(err)
+	t.Cleanup(func() {
+		_ = link.Close()
+		_ = ln.Close()
+	})
+	return New(Options{
+		Self: view.Record{Packets: self, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
+		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, Bound: bound, Log: zap.NewNop(), Vars: new(expvar.Map),
+	})
+}
+
+func agent(service string) view.Record {
+	return view.Record{
+		Packets: other, Control: other, Role: view.Agent, Domain: "a", Incarnation: 1, State: view.Up, Service: Short(route.Number(service)),
+	}
+}
+
+// An entry that has just started knows some agents only, so that what these deny may be held by others.
+func TestProcessIsNotSureRightAfterItsStart(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.onState(other, ctrl.State{Record: agent("desk"), Server: &ctrl.ServerLoad{Ready: true}})
+	is.True(n.Serves())
+	is.True(!n.Sure())
+	n.started = time.Now().Add(-2 * settleTime)
+	is.True(!n.Sure()) // The directory has not been read.
+	is.NoErr(n.listOnce(context.Background(), false))
+	is.True(n.Sure())
+	n.started = time.Now()
+	is.True(!n.Sure())
+	n.listed, n.started = time.Time{}, time.Now().Add(-2*settleAlone)
+	is.True(n.Sure()) // Others have told of all by now.
+}
+
+func TestEntryThatHearsFewIsNotSure(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.started, n.listed = time.Now().Add(-time.Minute), time.Now()
+	n.onState(other, ctrl.State{Record: agent("desk")})
+	is.True(n.Sure())
+	n.peers[other].heard = time.Now().Add(-2 * silentAfter)
+	n.noteSilence(time.Now())
+	is.True(!n.Sure())
+	is.True(n.Dead(other))
+}
+
+// An agent that announced its stop is expected back, and its flows are not lost meanwhile.
+func TestPlannedStopIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	r := agent("desk")
+	n.onState(other, ctrl.State{Record: r})
+	r.State, r.Epoch = view.Draining, 1
+	n.onState(other, ctrl.State{Record: r})
+	n.peers[other].heard = time.Now().Add(-2 * silentAfter)
+	n.noteSilence(time.Now())
+	is.True(!n.Dead(other))
+	is.Equal(len(n.Holders([]uint64{route.Number("desk")})), 1)
+	n.peers[other].away = time.Now().Add(-2 * plannedLapse)
+	is.True(n.Dead(other))
+}
+
+// A key that was taken from the directory is written again.
+func TestMissingEntryIsListedAgain(t *testing.T) {
+	is := is.New(t)
+	d := new(directory)
+	n := newNode(t, d)
+	is.NoErr(n.listOnce(context.Background(), false))
+	is.Equal(d.puts, 1)
+	is.NoErr(n.listOnce(context.Background(), true))
+	is.Equal(d.puts, 1)
+	d.records = nil
+	is.NoErr(n.listOnce(context.Background(), true))
+	is.Equal(d.puts, 2)
+}
+
+// A configuration never goes back within a process's life.
+func TestConfigurationDoesNotRegress(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.adopt(route.New(7, nil, 0), time.Now(), "test")
+	n.adopt(route.New(6, nil, 0), time.Now(), "test")
+	is.Equal(n.Version(), uint64(7))
+}
+
+// A process whose clock was stepped back starts with a lower incarnation than the one before it, and raises it.
+func TestProcessRaisesItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.onRoll(other, ctrl.Roll{Records: []view.Record{{Packets: self, Control: self, Role: view.Entry, Incarnation: 9, State: view.Gone}}})
+	is.True(n.self.Incarnation > 9)
+	is.Equal(n.self.State, view.Up)
+}
+
+// A pause of this process is no silence of the others.
+func TestPauseIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.onState(other, ctrl.State{Record: agent("desk")})
+	n.peers[other].heard = time.Now().Add(-3 * time.Second)
+	n.ticked = time.Now().Add(-3 * time.Second)
+	n.onTick()
+	is.True(!n.peers[other].silent)
+}
+
+func TestMembersAreReadyWhileHeard(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.learn([]view.Record{agent("desk")})
+	m := n.Members(route.Number("desk"))
+	is.Equal(len(m), 1)
+	is.True(!m[0].Ready) // Listed, and not heard.
+	n.onState(other, ctrl.State{Record: agent("desk"), Server: &ctrl.ServerLoad{Ready: true, Pending: 3}})
+	n.Sent(other)
+	m = n.Members(route.Number("desk"))
+	is.True(m[0].Ready && m[0].Near)
+	is.Equal(m[0].Load.Pending, 3)
+	is.Equal(m[0].Sent, 1)
+}
--- a/internal/memb/member.go
+++ b/internal/memb/member.go
@@ -105,10 +105,15 @@
 	return p == nil || n.dead(p, time.Now())
 }
 
-// Hears reports whether this process hears most of the others, so that the silence of one says something of that one.
-func (n *Node) Hears() bool {
+// Sure reports whether this process knows all agents, and hears most processes, so that what it does not find is
+// nowhere. Right after a start it knows some only.
+func (n *Node) Sure() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	up := time.Since(n.started)
+	if up < settleTime || (n.listed.IsZero() && up < settleAlone) {
+		return false
+	}
 	silent := 0
 	for _, p := range n.peers {
 		if p.silent || !p.tells {
@@ -118,6 +123,14 @@
 	return len(n.peers) > 0 && silent*2 < len(n.peers)
 }
 
+const (
+	// settleTime is how long after its start a process has heard of all others that know it, or that the directory lists:
+	// five heartbeats of agents.
+	settleTime = time.Second
+	// settleAlone is that time without the directory: others tell of all within some exchanges.
+	settleAlone = 6 * time.Second
+)
+
 // Serves reports whether an agent that is heard has a backend server that takes new flows.
 func (n *Node) Serves() bool {
 	n.mu.Lock()
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -95,9 +95,11 @@
 	fetching bool
 	ticked   time.Time
 	started  time.Time
-	beaten   time.Time
-	news     chan struct{}
-	read     chan struct{}
+	// listed is when the directory was read last.
+	listed time.Time
+	beaten time.Time
+	news   chan struct{}
+	read   chan struct{}
 }
 
 // peer is what was heard of another process.
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -268,6 +268,9 @@
 		return err
 	}
 	n.learn(records)
+	n.mu.Lock()
+	n.listed = time.Now()
+	n.mu.Unlock()
 	for _, r := range records {
 		if r.Packets == self.Packets && r.Incarnation == self.Incarnation {
 			return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,7 +57,8 @@
 	Everyone(most int) (all []seek.Candidate, ok bool)
 	Sent(agent netip.AddrPort)
 	Dead(agent netip.AddrPort) bool
-	Hears() bool
+	// Sure reports whether all agents are known, so that a flow that they all deny is nowhere.
+	Sure() bool
 	// Serves reports whether any backend server takes new flows.
 	Serves() bool
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -47,7 +47,7 @@
 func (m *members) Sent(netip.AddrPort)                   {}
 func (m *members) Dead(a netip.AddrPort) bool            { return m.dead[a] }
 func (m *members) Serves() bool                          { return len(m.members) > 0 }
-func (m *members) Hears() bool                           { return !m.alone }
+func (m *members) Sure() bool                            { return !m.alone }
 
 var (
 	client  = netip.MustParseAddrPort("127.0.0.9:4000")
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -261,7 +261,7 @@
 
 // lost ends a flow that nobody holds, so that its client can come back at once.
 func (r *Relay) lost(key flow.Key, s *search, now time.Time) {
-	sure := r.opts.Members.Hears()
+	sure := r.opts.Members.Sure()
 	r.opts.Flows.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", sure),
 		zap.Duration("took", now.Sub(s.started)), zap.Bool("fin", s.head.Fin), zap.Int("len", s.head.Len))
 	r.counts.Add("lost", 1)
