--- /dev/null
+++ b/internal/hop/hop_test.go
@@ -0,0 +1,77 @@
+package hop
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/seek"
+)
+
+var key = flow.NewKey(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))
+
+func TestRoundTrip(t *testing.T) {
+	is := is.New(t)
+	want := Head{
+		Kind: Listed, Hops: Final | Whole, Verdict: seek.Held, Version: 1 << 40, Service: 1<<63 + 7,
+		Second: netip.MustParseAddrPort("10.0.0.2:7002"), Entry: netip.MustParseAddrPort("10.0.0.3:7002"),
+	}
+	b := want.PutKey(nil, key)
+	got, body, err := Parse(b)
+	is.NoErr(err)
+	is.Equal(got, want)
+	is.Equal(Keys(body), []flow.Key{key})
+	k, ok := Key(body)
+	is.True(ok)
+	is.Equal(k, key)
+	_, ok = Key(body[1:])
+	is.True(!ok)
+}
+
+func TestDamaged(t *testing.T) {
+	is := is.New(t)
+	head := Head{Kind: Open}
+	b := make([]byte, Size)
+	head.Put(b)
+	_, _, err := Parse(b[:Size-1])
+	is.True(errors.Is(err, ErrTruncated))
+	b[1] = 99
+	_, _, err = Parse(b)
+	is.True(errors.Is(err, ErrKind))
+	b[0] = 9
+	_, _, err = Parse(b)
+	is.True(errors.Is(err, ErrVersion))
+}
+
+func FuzzParse(f *testing.F) {
+	head := Head{Kind: Carry, Service: 7}
+	f.Add(head.PutKey(nil, key))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, body, err := Parse(b)
+		if err != nil {
+			return
+		}
+		again := make([]byte, Size)
+		h.Put(again)
+		back, _, err := Parse(again)
+		if err != nil || back != h {
+			t.Fatalf("%+v became %+v: %v", h, back, err)
+		}
+		Keys(body)
+	})
+}
+
+func TestParseDoesNotAllocate(t *testing.T) {
+	head := Head{Kind: Carry, Entry: netip.MustParseAddrPort("10.0.0.3:7002")}
+	b := make([]byte, Size+100)
+	n := testing.AllocsPerRun(1000, func() {
+		head.Put(b)
+		if _, _, err := Parse(b); err != nil {
+			t.Fatal(err)
+		}
+	})
+	is.New(t).Equal(n, 0.0)
+}
