--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -297,7 +297,7 @@
 func TestListOfAnotherServiceStaysTrue(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), whole: true, version: 5}
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), whole: true, version: 5, keys: map[flow.Key]struct{}{}}
 	w.packet(1, ack)
 	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.Kind(0))
@@ -313,3 +313,27 @@
 	w.members.table = nil
 	w.True(!w.relay.Ready())
 }
+
+// A list that has the flow comes from an agent of another service while the route's own agents are still asked: the flow
+// is not lost when these deny it.
+func TestListOfAnotherServiceNamesTheFlow(t *testing.T) {
+	w := newWorld(t)
+	w.members.holders = w.members.holders[:1]
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now()}
+	w.packet(1, ack)
+	w.says(w.two, hop.Head{Kind: hop.Listed, Version: 5, Hops: hop.Final | hop.Whole, Verdict: seek.Held}, key)
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.Equal(w.kind(w.two), hop.Carry)
+	w.True(!w.isReset())
+}
+
+// Nor is it lost when the entry has forgotten it since that list.
+func TestListedFlowIsAskedForAgain(t *testing.T) {
+	w := newWorld(t)
+	w.members.holders = w.members.holders[:1]
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), whole: true, version: 5, keys: map[flow.Key]struct{}{key: {}}}
+	w.packet(1, ack)
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.Equal(w.kind(w.two), hop.Ask)
+	w.True(!w.isReset())
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -106,7 +106,7 @@
 		head := hop.Head{Kind: hop.Ask, Entry: r.opts.Self}
 		switch {
 		case now.Sub(l.asked) >= listEvery:
-			l.asked = now
+			*l = listing{asked: now, keys: make(map[flow.Key]struct{})}
 			head.Kind = hop.List
 		case !l.asked.Before(s.started) && now.Sub(l.asked) < listWait:
 			continue // The list that is on its way was asked for after the flow's packet came, so that it answers this too.
@@ -124,6 +124,14 @@
 	asked   time.Time
 	whole   bool
 	version uint64
+	// keys are the flows of that answer.
+	keys map[flow.Key]struct{}
+}
+
+// denies reports whether an answer under a configuration or a later one showed that the agent doesn't hold a flow.
+func (l *listing) denies(key flow.Key, version uint64) bool {
+	_, listed := l.keys[key]
+	return l.whole && l.version >= version && !listed
 }
 
 const (
@@ -135,7 +143,14 @@
 
 // listed takes over which flows an agent's server holds.
 func (r *Relay) listed(from netip.AddrPort, head hop.Head, body []byte, now time.Time) {
+	l := r.lists[from]
+	if l == nil {
+		return // Nobody asked.
+	}
 	for _, key := range hop.Keys(body) {
+		if l.keys != nil {
+			l.keys[key] = struct{}{}
+		}
 		if head.Verdict != seek.Held {
 			if s := r.searches[key]; s != nil {
 				s.Answer(from, head.Verdict)
@@ -155,10 +170,6 @@
 	if head.Hops&hop.Final == 0 {
 		return
 	}
-	l := r.lists[from]
-	if l == nil {
-		return
-	}
 	verdict := seek.Perhaps
 	l.whole, l.version = head.Hops&hop.Whole != 0, head.Version
 	if l.whole {
@@ -218,7 +229,7 @@
 	version := versionOf(r.opts.Members.Table())
 	for _, agent := range s.Unanswered() {
 		// An agent with this configuration opens no flow of the route any more, so that its list stays true.
-		if l := r.lists[agent]; l != nil && l.whole && l.version >= version {
+		if l := r.lists[agent]; l != nil && l.denies(key, version) {
 			s.Answer(agent, seek.Denied)
 		}
 	}
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -131,13 +131,17 @@
 // Retry starts the time for answers anew; the verdicts so far stay.
 func (s *Search) Retry(now time.Time) { s.started = now }
 
-// Answer notes an agent's verdict.
+// Answer notes an agent's verdict. An agent that was not asked counts only when it has the flow.
 func (s *Search) Answer(agent netip.AddrPort, v Verdict) {
 	for i := range s.candidates {
 		if s.candidates[i].agent == agent {
 			s.candidates[i].verdict = v
+			return
 		}
 	}
+	if v == Held || v == Opening {
+		s.candidates = append(s.candidates, candidate{agent: agent, verdict: v})
+	}
 }
 
 // Next returns the next step at now. Agents of a Try step count as tried.
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -109,3 +109,13 @@
 	s.Answer(agentB, Opening)
 	is.Equal(s.Next(at(0)), Step{Action: Try, Agents: []netip.AddrPort{agentB}})
 }
+
+// An agent that was not asked may say that it holds the flow.
+func TestHolderThatWasNotAsked(t *testing.T) {
+	is := is.New(t)
+	s := newSearch(agentA)
+	s.Answer(agentB, Denied)
+	is.Equal(s.Unanswered(), []netip.AddrPort{agentA})
+	s.Answer(agentB, Held)
+	is.Equal(s.Next(at(0)), Step{Action: Deliver, Agents: []netip.AddrPort{agentB}})
+}
