--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -52,18 +52,15 @@
 }
 
 // list tells an entry all flows that the server holds, and those that it was offered.
-func (a *Agent) list(to netip.AddrPort, now time.Time) {
+func (a *Agent) list(to netip.AddrPort, body []byte, now time.Time) {
+	part, _, err := hop.ParsePart(body)
+	if err != nil {
+		a.counts.Add("hop_damaged", 1)
+		return
+	}
 	var opened, offered []flow.Key
 	if !a.server.Dead(now) {
-		a.flows.Each(func(k flow.Key, f *held) {
-			switch {
-			case f.start != a.server.Starts():
-			case f.phase == open:
-				opened = append(opened, k)
-			case f.phase == opening:
-				offered = append(offered, k)
-			}
-		})
+		opened, offered = a.keys()
 	}
 	head := hop.Head{Kind: hop.Listed, Service: route.Number(a.service())}
 	if a.isWhole(now) {
@@ -73,23 +70,39 @@
 		head.Version = t.Version
 	}
 	a.counts.Add("listed", 1)
+	parts := max(1, (len(opened)+hop.ListMost-1)/hop.ListMost)
+	part.Total = uint16(parts + (len(offered)+hop.ListMost-1)/hop.ListMost)
 	head.Verdict = seek.Opening
-	for len(offered) > 0 {
-		offered = a.listSome(head, offered, to)
+	for ; len(offered) > 0; part.Index++ {
+		offered = a.listSome(head, part, offered, to)
 	}
 	head.Verdict = seek.Held
-	for len(opened) > hop.ListMost {
-		opened = a.listSome(head, opened, to)
+	for range parts {
+		opened = a.listSome(head, part, opened, to)
+		part.Index++
 	}
-	head.Hops |= hop.Final
-	a.listSome(head, opened, to)
+}
+
+// keys returns the flows that the server holds, and those that it was offered.
+func (a *Agent) keys() (opened, offered []flow.Key) {
+	a.flows.Each(func(k flow.Key, f *held) {
+		switch {
+		case f.start != a.server.Starts():
+		case f.phase == open:
+			opened = append(opened, k)
+		case f.phase == opening:
+			offered = append(offered, k)
+		}
+	})
+	return opened, offered
 }
 
 // listSome sends as many keys as fit into a datagram, and returns the rest.
-func (a *Agent) listSome(head hop.Head, keys []flow.Key, to netip.AddrPort) []flow.Key {
+func (a *Agent) listSome(head hop.Head, part hop.Part, keys []flow.Key, to netip.AddrPort) []flow.Key {
 	n := min(len(keys), hop.ListMost)
-	b := make([]byte, hop.Size, hop.Size+n*flow.KeySize)
+	b := make([]byte, hop.Size, hop.Size+hop.MaxPacket)
 	head.Put(b)
+	b = part.Append(b)
 	for _, k := range keys[:n] {
 		b = k.Append(b)
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -36,7 +36,7 @@
 		a.asked(from, body, now)
 		return
 	case hop.List:
-		a.list(from, now)
+		a.list(from, body, now)
 		return
 	}
 	h, ok := a.opts.Format.Parse(body)
--- a/internal/hop/hop.go
+++ b/internal/hop/hop.go
@@ -45,20 +45,43 @@
 	Claim
 	// List asks an agent for the keys of all flows that its server holds.
 	List
-	// Listed answers a List by keys in place of a packet; there may be several, of which Final is the last.
+	// Listed answers a List by a Part and keys in place of a packet; an answer may have several parts.
 	Listed
 )
 
-// The flags of a Listed, in the place of Hops.
-const (
-	// Final marks the last datagram of an answer.
-	Final = 1
-	// Whole says that the server holds no other flows.
-	Whole = 2
-)
+// Whole is a flag of a Listed, in the place of Hops: the server holds no flows but those listed.
+const Whole = 1
 
 // ListMost is how many keys fit into a Listed.
-const ListMost = 100
+const ListMost = 98
+
+// partSize is the size of an encoded Part, in bytes.
+const partSize = 12
+
+// Part names a datagram of a List or a Listed: the question, which the answer repeats, and which of how many parts of
+// the answer it is.
+type Part struct {
+	Question     uint64
+	Index, Total uint16
+}
+
+// Append appends the encoded part: question (8), index (2) and total (2), big-endian.
+func (p Part) Append(b []byte) []byte {
+	b = binary.BigEndian.AppendUint64(b, p.Question)
+	b = binary.BigEndian.AppendUint16(b, p.Index)
+	return binary.BigEndian.AppendUint16(b, p.Total)
+}
+
+// ParsePart reads the part at the beginning of the body of a List or Listed, and returns the keys behind it.
+func ParsePart(body []byte) (p Part, keys []flow.Key, err error) {
+	if len(body) < partSize {
+		return Part{}, nil, ErrTruncated
+	}
+	p = Part{
+		Question: binary.BigEndian.Uint64(body), Index: binary.BigEndian.Uint16(body[8:]), Total: binary.BigEndian.Uint16(body[10:]),
+	}
+	return p, Keys(body[partSize:]), nil
+}
 
 // Head precedes a packet between processes.
 type Head struct {
@@ -150,7 +173,7 @@
 	return flow.KeyFrom([flow.KeySize]byte(body)), true
 }
 
-// Keys reads the keys of a Listed.
+// Keys reads keys that stand one behind the other.
 func Keys(body []byte) []flow.Key {
 	out := make([]flow.Key, 0, len(body)/flow.KeySize)
 	for len(body) >= flow.KeySize {
--- a/internal/hop/hop_test.go
+++ b/internal/hop/hop_test.go
@@ -16,7 +16,7 @@
 func TestRoundTrip(t *testing.T) {
 	is := is.New(t)
 	want := Head{
-		Kind: Listed, Hops: Final | Whole, Verdict: seek.Held, Version: 1 << 40, Service: 1<<63 + 7,
+		Kind: Listed, Hops: Whole, Verdict: seek.Held, Version: 1 << 40, Service: 1<<63 + 7,
 		Second: netip.MustParseAddrPort("10.0.0.2:7002"), Entry: netip.MustParseAddrPort("10.0.0.3:7002"),
 	}
 	b := want.PutKey(nil, key)
@@ -75,3 +75,15 @@
 	})
 	is.New(t).Equal(n, 0.0)
 }
+
+func TestParts(t *testing.T) {
+	is := is.New(t)
+	want := Part{Question: 1<<60 + 3, Index: 2, Total: 5}
+	b := key.Append(want.Append(nil))
+	got, keys, err := ParsePart(b)
+	is.NoErr(err)
+	is.Equal(got, want)
+	is.Equal(keys, []flow.Key{key})
+	_, _, err = ParsePart(b[:partSize-1])
+	is.True(errors.Is(err, ErrTruncated))
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,6 +87,8 @@
 	searches map[flow.Key]*search
 	habits   map[string]*pick.Habit
 	lists    map[netip.AddrPort]*listing
+	// questions counts the questions for lists.
+	questions uint64
 }
 
 // placed is what the entry knows of a flow.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -110,8 +110,20 @@
 
 // says gives the entry an agent's word of the flow.
 func (w *world) says(from *net.UDPConn, head hop.Head, keys ...flow.Key) {
+	part := hop.Part{Total: 1}
+	if l := w.relay.lists[addr(from)]; l != nil {
+		part.Question = l.question
+	}
+	w.part(from, head, part, keys...)
+}
+
+// part gives the entry a part of an agent's list.
+func (w *world) part(from *net.UDPConn, head hop.Head, part hop.Part, keys ...flow.Key) {
 	b := make([]byte, hop.Size)
 	head.Put(b)
+	if head.Kind == hop.Listed {
+		b = part.Append(b)
+	}
 	for _, k := range keys {
 		b = k.Append(b)
 	}
@@ -195,7 +207,7 @@
 	w.packet(1, ack)
 	w.Equal(w.kind(w.one), hop.List)
 	w.Equal(w.kind(w.two), hop.List)
-	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held}, key)
+	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, key)
 	k, body := w.next(w.two)
 	w.Equal(k, hop.Carry)
 	w.Equal(body, []byte{1})
@@ -205,7 +217,7 @@
 	w := newWorld(t)
 	w.packet(1, ack)
 	for _, c := range []*net.UDPConn{w.one, w.two} {
-		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	}
 	w.True(w.isReset())
 }
@@ -221,7 +233,7 @@
 	w.relay.fromClient(b)
 	later := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
 	for _, c := range []*net.UDPConn{w.one, w.two} {
-		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held}, key)
+		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, key)
 	}
 	w.relay.mu.Lock()
 	defer w.relay.mu.Unlock()
@@ -234,10 +246,10 @@
 func TestOfferedFlowIsNotReset(t *testing.T) {
 	w := newWorld(t)
 	w.packet(1, ack)
-	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Opening}, key)
-	for _, c := range []*net.UDPConn{w.one, w.two} {
-		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
-	}
+	q := w.relay.lists[addr(w.one)].question
+	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Opening}, hop.Part{Question: q, Total: 2}, key)
+	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, hop.Part{Question: q, Index: 1, Total: 2})
+	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.one), hop.List)
 	w.Equal(w.kind(w.one), hop.Probe)
 	w.True(!w.isReset())
@@ -249,7 +261,7 @@
 	w.members.alone = true
 	w.packet(1, ack)
 	for _, c := range []*net.UDPConn{w.one, w.two} {
-		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	}
 	w.True(!w.isReset())
 }
@@ -259,9 +271,9 @@
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
 	w.packet(1, ack)
-	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.List)
-	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held}, key)
+	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, key)
 	w.Equal(w.kind(w.two), hop.Carry)
 	w.True(!w.isReset())
 }
@@ -297,9 +309,9 @@
 func TestListOfAnotherServiceStaysTrue(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), whole: true, version: 5, keys: map[flow.Key]struct{}{}}
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), complete: true, whole: true, version: 5, keys: map[flow.Key]struct{}{}}
 	w.packet(1, ack)
-	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.Kind(0))
 	w.True(w.isReset())
 }
@@ -319,10 +331,10 @@
 func TestListOfAnotherServiceNamesTheFlow(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now()}
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), keys: map[flow.Key]struct{}{}}
 	w.packet(1, ack)
-	w.says(w.two, hop.Head{Kind: hop.Listed, Version: 5, Hops: hop.Final | hop.Whole, Verdict: seek.Held}, key)
-	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.says(w.two, hop.Head{Kind: hop.Listed, Version: 5, Hops: hop.Whole, Verdict: seek.Held}, key)
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.Carry)
 	w.True(!w.isReset())
 }
@@ -331,9 +343,21 @@
 func TestListedFlowIsAskedForAgain(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), whole: true, version: 5, keys: map[flow.Key]struct{}{key: {}}}
+	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), complete: true, whole: true, version: 5, keys: map[flow.Key]struct{}{key: {}}}
 	w.packet(1, ack)
-	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Final | hop.Whole, Verdict: seek.Held})
+	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.Ask)
 	w.True(!w.isReset())
 }
+
+// A list of which a part is lost, or that answers an earlier question, denies nothing.
+func TestIncompleteListDeniesNothing(t *testing.T) {
+	w := newWorld(t)
+	w.packet(1, ack)
+	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
+	q := w.relay.lists[addr(w.one)].question
+	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, hop.Part{Question: q, Index: 1, Total: 2})
+	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, hop.Part{Question: q - 1, Total: 1})
+	w.True(w.relay.searches[key].Missing(addr(w.one)))
+	w.True(!w.isReset())
+}
