--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -15,13 +15,13 @@
 	"time"
 
 	"github.com/oklog/run"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
 	"github.com/bergamotrun/bergamotrun/internal/logs"
+	"github.com/bergamotrun/bergamotrun/internal/mmsg"
 	"github.com/bergamotrun/bergamotrun/internal/pace"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/server"
@@ -164,18 +164,7 @@
 
 // serve reads datagrams, behind room for a hop head, until the connection is closed.
 func (a *Agent) serve(conn *net.UDPConn, handle func(from netip.AddrPort, b []byte)) error {
-	buf := make([]byte, 2*hop.Size+hop.MaxPacket)
-	for {
-		n, from, err := conn.ReadFromUDPAddrPort(buf[hop.Size:])
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			a.counts.Add("read_failed", 1)
-			continue
-		}
-		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:hop.Size+n])
-	}
+	return mmsg.Serve(conn, hop.Size, func() { a.counts.Add("read_failed", 1) }, handle)
 }
 
 // Configure takes a newer configuration over.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"github.com/oklog/run"
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
+	"github.com/bergamotrun/bergamotrun/internal/mmsg"
 	"github.com/bergamotrun/bergamotrun/internal/pick"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
@@ -152,18 +152,12 @@
 }
 
 func (r *Relay) serveClients() error {
-	buf := make([]byte, hop.Size+hop.MaxPacket)
-	for {
-		n, _, err := r.opts.Clients.ReadFromUDPAddrPort(buf[hop.Size:])
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			r.counts.Add("client_read_failed", 1)
-			continue
-		}
-		r.fromClient(buf[:hop.Size+n])
-	}
+	failed := func() { r.counts.Add("client_read_failed", 1) }
+	return mmsg.Serve(r.opts.Clients, hop.Size, failed, func(_ netip.AddrPort, b []byte) { r.fromClient(b) })
+}
+
+func (r *Relay) serveHops() error {
+	return mmsg.Serve(r.opts.Hops, 0, func() { r.counts.Add("hop_read_failed", 1) }, r.fromHop)
 }
 
 // fromClient handles a caller's packet, which stands in b behind room for a hop head.
