--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -172,6 +172,8 @@
 
 func (d *deployment) crash(ctx context.Context, r *rand.Rand) {
 	p := d.agents[r.IntN(len(d.agents))]
+	p.beside.Lock()
+	defer p.beside.Unlock()
 	p.touch()
 	d.server(p).Stop(false)
 	between(ctx, r, 200*time.Millisecond, 3*time.Second)
@@ -184,6 +186,8 @@
 // replace lets a server leave as planned, and starts another one in its place.
 func (d *deployment) replace(ctx context.Context, r *rand.Rand) {
 	p := d.agents[r.IntN(len(d.agents))]
+	p.beside.Lock()
+	defer p.beside.Unlock()
 	s := d.server(p)
 	s.Drain()
 	until := time.Now().Add(2 * drainBound)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -37,6 +37,8 @@
 	args []string
 	file string
 	log  *os.File
+	// beside is held while the backend server beside the process is stopped and started.
+	beside sync.Mutex
 
 	mu sync.Mutex
 	// cmd is the running process, nil while there is none; expected says that the soak ended it.
