--- a/tests/names_test.go
+++ b/tests/names_test.go
@@ -67,3 +67,20 @@
 	t.Logf("platform/ has %d lines", lines)
 	is.True(lines < 1200)
 }
+
+// TestTemplatesNameKnownKeys fails when a template of the deployment writes a key that the settings don't have.
+func TestTemplatesNameKnownKeys(t *testing.T) {
+	is := is.New(t)
+	key := regexp.MustCompile(`(?m)(?:^|\}\})([a-z]+) = `)
+	for _, role := range []string{"relay", "deliver"} {
+		template, err := os.ReadFile("../deploy/" + role + ".toml")
+		is.NoErr(err)
+		sample, err := os.ReadFile("../conf/" + role + ".toml")
+		is.NoErr(err)
+		for _, m := range key.FindAllStringSubmatch(string(template), -1) {
+			if !regexp.MustCompile(`(?m)^(# )?` + m[1] + ` = `).Match(sample) {
+				t.Errorf("deploy/%s.toml writes %s, which conf/%s.toml doesn't show", role, m[1], role)
+			}
+		}
+	}
+}
