A server that answers implausibly fast is taken last

A server whose service time is below 0.3 of what its health check and the others' medians let expect is taken last. Ruled out: detection by the payload, which we can't read.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -12,6 +12,7 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,12 @@
 	queueWeight = 0.5
 	// coldFactor is how much slower a server is taken to be right after its start.
 	coldFactor = 1.5
+	// suspectPart is the part of the service time expected by its health check below which a server is suspect: four times
+	// faster is beyond the noise of a mean of some twenty requests. suspectAlone is that part of the median where no check is
+	// known, and suspectCost puts suspects behind all others.
+	suspectPart  = 0.3
+	suspectAlone = 0.2
+	suspectCost  = 1e6
 	// defaultService is the service time of servers of which nobody knows one yet.
 	defaultService = 25 * time.Millisecond
 	// defaultPerFlow is the request rate of a long flow, in requests a second, before one is known.
@@ -98,36 +105,31 @@
 }
 
 func summarize(members []Member) summary {
-	var service, check, served, checked time.Duration
-	known, both, checks, flows := 0, 0, 0, 0
-	repeated := 0.0
+	services, ratios, checks := make([]float64, 0, len(members)), make([]float64, 0, len(members)), make([]float64, 0, len(members))
+	flows, repeated := 0, 0.0
 	for i := range members {
 		l := &members[i].Load
 		if l.Service > 0 {
-			service += l.Service
-			known++
+			services = append(services, float64(l.Service))
 		}
 		if l.Check > 0 {
-			checked += l.Check
-			checks++
+			checks = append(checks, float64(l.Check))
 		}
 		if l.Service > 0 && l.Check > 0 {
-			served += l.Service
-			check += l.Check
-			both++
+			ratios = append(ratios, float64(l.Service)/float64(l.Check))
 		}
 		flows += l.Flows
 		repeated += l.Repeated
 	}
 	s := summary{service: defaultService, perFlow: defaultPerFlow}
-	if known > 0 {
-		s.service = service / time.Duration(known)
+	if len(services) > 0 {
+		s.service = time.Duration(median(services))
 	}
 	switch {
-	case both > 0:
-		s.perCheck = float64(served) / float64(check)
-	case checks > 0:
-		s.perCheck = float64(s.service) * float64(checks) / float64(checked)
+	case len(ratios) > 0:
+		s.perCheck = median(ratios)
+	case len(checks) > 0:
+		s.perCheck = float64(s.service) / median(checks)
 	}
 	if flows > 0 && repeated > 0 {
 		s.perFlow = repeated / float64(flows)
@@ -135,6 +137,24 @@
 	return s
 }
 
+// median returns the median of values, which must not be empty, and sorts them.
+func median(values []float64) float64 {
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// suspect reports whether a server answers much sooner than its health check and the other servers let expect: it may
+// answer with errors.
+func (l *Load) suspect(s summary) bool {
+	if l.Service == 0 {
+		return false
+	}
+	if s.perCheck > 0 && l.Check > 0 {
+		return float64(l.Service) < suspectPart*s.perCheck*float64(l.Check)
+	}
+	return float64(l.Service) < suspectAlone*float64(s.service)
+}
+
 // best returns the best member but without, taking the flow's Avoid and members that aren't ready last.
 func best(f Flow, members []Member, s summary, without int) int {
 	found, foundCost := -1, math.Inf(1)
@@ -143,6 +163,9 @@
 			continue
 		}
 		cost := f.cost(&members[i], s) * (1 + jitter(f.Hash, i))
+		if members[i].Load.suspect(s) {
+			cost += suspectCost
+		}
 		if members[i].Agent == f.Avoid {
 			cost += math.MaxFloat32
 		}
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -239,3 +239,48 @@
 	is.Equal(members[choice.First].Agent.String(), field("agent"))
 	is.Equal(members[choice.Second].Agent.String(), field("second"))
 }
+
+// A server that answers everything with an error at once has the shortest queue and the shortest service time. It must not
+// draw the new flows: long ones would stay there when it works again.
+func TestImplausiblyFastServerIsTakenLast(t *testing.T) {
+	is := is.New(t)
+	var members []Member
+	for i := range 6 {
+		members = append(members, ready(i, Load{Slots: 2, Flows: 50, Pending: 2, Service: 30 * time.Millisecond, Check: 1500 * time.Microsecond, Repeated: 20}))
+	}
+	members[3].Load.Service, members[3].Load.Pending = 2*time.Millisecond, 0
+	for _, long := range []bool{true, false} {
+		for i := range 50 {
+			is.True(Choose(Flow{Hash: uint64(i) * 7919, Long: long, Objective: time.Second}, members).First != 3)
+		}
+	}
+	is.Equal(Choose(Flow{Objective: time.Second}, members[3:4]).First, 0) // Better than none.
+
+	// One that is fast in truth answers its health checks faster too.
+	members[3].Load.Service, members[3].Load.Check = 9*time.Millisecond, 500*time.Microsecond
+	is.Equal(Choose(Flow{Objective: time.Second}, members).First, 3)
+}
+
+// Fair servers of unequal speed are not taken for implausibly fast ones, whatever noise their means have.
+func TestFairServersAreNotSuspected(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(7, 8))
+	suspected := 0
+	for range 2000 {
+		var members []Member
+		for range 7 {
+			speed := []float64{0.55, 1, 1.2, 1.6}[rnd.IntN(4)]
+			noise := 0.75 + 0.5*rnd.Float64()
+			members = append(members, ready(len(members), Load{
+				Slots: 4, Service: time.Duration(speed * noise * 28e6), Check: time.Duration(3e5 + speed*1e6 + 2e5*rnd.Float64()),
+			}))
+		}
+		s := summarize(members)
+		for i := range members {
+			if members[i].Load.suspect(s) {
+				suspected++
+			}
+		}
+	}
+	is.Equal(suspected, 0)
+}
