--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -25,6 +25,8 @@
 var soakCases = []soakCase{
 	{"mixed", 1, "", 12 * time.Second, "a mix of all faults"},
 	{"kill-all", 2, "kill all", 5 * time.Second, "open flows are found again after all processes were killed"},
+	{"servers", 789, "server replaced,server crashes", 8 * time.Second,
+		"two faults at one server within a moment: the stand-in's port was still taken (no fault of the system)"},
 	{"store", 3, "store silent,store forgets,store revokes,configurations", 8 * time.Second, "configurations while the store fails"},
 	{"planned", 4, "roll entries,roll agents,server replaced", 8 * time.Second, "planned work alone breaks no flow"},
 	{"agents", 4, "roll agents", 8 * time.Second,
