TestContractChangeIsInForceEverywhere waits for the entry that it reads from

Trace: it waited until the first entry knew the new contract, and then read the serial from the third, whose log has no 'contracts in force' yet 0.04 s after its start; serial 0 is refused as a missing precondition, rightly. It now waits for both within the same bound; all that it checked before it still checks.

--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -334,9 +334,11 @@
 	const changes, instances = 10, 5
 	for i := range changes {
 		contract.Share = uint32(10 + i)
-		e := c.entries[i%len(c.entries)]
-		await(t, forceLimit, "the entry knows the last change", func() bool { return c.serialAt(e, "desk") != 0 })
-		serial := c.serialAt(c.entries[(i+2)%len(c.entries)], "desk")
+		e, other := c.entries[i%len(c.entries)], c.entries[(i+2)%len(c.entries)]
+		await(t, forceLimit, "both entries know the contract", func() bool {
+			return c.serialAt(e, "desk") != 0 && c.serialAt(other, "desk") != 0
+		})
+		serial := c.serialAt(other, "desk")
 		code, answer := c.api(e, http.MethodPut, "/v1/contracts/desk", serial, change1(fmt.Sprint("u", i), &contract))
 		is.Equal(code, http.StatusOK)
 		applied := appliedSerial(t, answer)
