List a fault: an agent's planned stop removes its saved list of flows

Found by reading the change: the list lies under the lease that a stopping process ends, so that the save before a planned stop is lost.

--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -22,6 +22,7 @@
 type directory struct {
 	records []view.Record
 	puts    int
+	leaves  int
 }
 
 func (d *directory) Put(_ context.Context, r view.Record) error {
@@ -32,7 +33,10 @@
 func (*directory) Keep(context.Context) error                    { return nil }
 func (*directory) Interval() time.Duration                       { return time.Minute }
 func (d *directory) List(context.Context) ([]view.Record, error) { return d.records, nil }
-func (*directory) Leave(context.Context) error                   { return nil }
+func (d *directory) Leave(context.Context) error {
+	d.leaves++
+	return nil
+}
 
 var (
 	self  = netip.MustParseAddrPort("127.0.0.1:1")
@@ -166,3 +170,16 @@
 	is.Equal(m[0].Load.Pending, 3)
 	is.Equal(m[0].Sent, 1)
 }
+
+// An agent's lease also holds the list of its server's flows, which the process after it needs: a planned stop must not
+// end it.
+func TestAgentKeepsItsLeaseAtAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	d := new(directory)
+	n := newNode(t, d)
+	n.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{} }
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(n.keepListed(ctx))
+	is.Equal(d.leaves, 0)
+}
