Agents stay listed at a planned stop, so that their saved flows outlive it

Cause: every process ended its lease at a stop; an agent's lease also holds the list of its server's flows, saved just before. Only entries leave now. The default service time and the cold factor stand once, in package server.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -107,7 +107,6 @@
 	waits *logs.Histogram
 	// whole is from when on the table holds all of the server's flows.
 	whole   time.Time
-	idle    time.Duration
 	ticked  time.Time
 	refuses server.Reason
 	open    int
@@ -119,7 +118,7 @@
 func New(opts Options) *Agent {
 	now := time.Now()
 	a := &Agent{
-		opts: opts, counts: new(expvar.Map), started: now, ticked: now, idle: defaultIdle,
+		opts: opts, counts: new(expvar.Map), started: now, ticked: now,
 		server: server.New(server.Options{Address: opts.Server, Service: opts.Service, Interval: opts.Interval}),
 		flows:  flow.NewTable[held](defaultIdle, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTime, maxFlows), starts: make(chan struct{}, 1),
@@ -174,9 +173,9 @@
 	if t.Idle <= 0 {
 		return
 	}
-	a.idle = t.Idle + idleSlack
-	a.flows.SetIdle(a.idle)
-	if whole := a.started.Add(a.idle); !a.opts.FirstStart && time.Now().Before(a.whole) {
+	idle := t.Idle + idleSlack
+	a.flows.SetIdle(idle)
+	if whole := a.started.Add(idle); !a.opts.FirstStart && time.Now().Before(a.whole) {
 		a.whole = whole
 	}
 }
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -232,12 +232,20 @@
 		}
 		put, listed = true, now
 	})
-	leaveCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
+	if n.opts.Load == nil {
+		n.leave(ctx)
+	}
+	return err
+}
+
+// leave takes an entry off the directory. An agent stays listed until its lease runs out, since the lease also holds the
+// list of its server's flows, which the next process at its address reads.
+func (n *Node) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaveTime)
 	defer cancel()
-	if err := n.opts.Directory.Leave(leaveCtx); err != nil {
+	if err := n.opts.Directory.Leave(ctx); err != nil {
 		n.opts.Log.Debug("directory entry not removed", zap.Error(err))
 	}
-	return err
 }
 
 const (
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -14,6 +14,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/bergamotrun/bergamotrun/internal/server"
 )
 
 const (
@@ -28,16 +30,12 @@
 	farPart = 0.12
 	// queueWeight is the part of a service time that each request in progress adds below full slots.
 	queueWeight = 0.5
-	// coldFactor is how much slower a server is taken to be right after its start.
-	coldFactor = 1.5
 	// suspectPart is the part of the service time expected by its health check below which a server is suspect: four times
 	// faster is beyond the noise of a mean of some twenty requests. suspectAlone is that part of the median where no check is
 	// known, and suspectCost puts suspects behind all others.
 	suspectPart  = 0.3
 	suspectAlone = 0.2
 	suspectCost  = 1e6
-	// defaultService is the service time of servers of which nobody knows one yet.
-	defaultService = 25 * time.Millisecond
 	// defaultPerFlow is the request rate of a long flow, in requests a second, before one is known.
 	defaultPerFlow = 0.5
 )
@@ -121,7 +119,7 @@
 		flows += l.Flows
 		repeated += l.Repeated
 	}
-	s := summary{service: defaultService, perFlow: defaultPerFlow}
+	s := summary{service: server.DefaultService, perFlow: defaultPerFlow}
 	if len(services) > 0 {
 		s.service = time.Duration(median(services))
 	}
@@ -228,7 +226,7 @@
 		}
 	}
 	if l.Cold {
-		return time.Duration(coldFactor * float64(service))
+		return time.Duration(server.ColdFactor * float64(service))
 	}
 	return service
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,9 +20,10 @@
 	serviceWeight = 0.05
 	// trustedSamples is how many requests must be seen before their mean says something.
 	trustedSamples = 5
-	// defaultService is the service time while none is known, coldFactor how much slower a server is right after its start.
-	defaultService = 25 * time.Millisecond
-	coldFactor     = 1.5
+	// DefaultService is the service time while none is known.
+	DefaultService = 25 * time.Millisecond
+	// ColdFactor is how much slower a server is taken to be right after its start.
+	ColdFactor = 1.5
 	// outlier bounds a sample, in means: a rare long request says little of the server.
 	outlier = 4
 )
@@ -168,10 +169,10 @@
 func (s *Server) Expected(now time.Time) time.Duration {
 	d := s.Mean()
 	if d == 0 {
-		d = defaultService
+		d = DefaultService
 	}
 	if s.Cold(now) {
-		d = time.Duration(coldFactor * float64(d))
+		d = time.Duration(ColdFactor * float64(d))
 	}
 	return d
 }
