Package local: deployments of the programs as local processes, out of package soak

Stand-ins of servers count what they do and can shed; settings, addresses, fabric and operator stand in one place.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/internal/soak"
 )
 
@@ -37,8 +38,8 @@
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
-	if *slot < 0 || *slot >= soak.MostSlots {
-		return errors.Errorf("-slot %d: must be 0 to %d", *slot, soak.MostSlots-1)
+	if *slot < 0 || *slot >= local.MostSlots {
+		return errors.Errorf("-slot %d: must be 0 to %d", *slot, local.MostSlots-1)
 	}
 	binary, err := os.Executable()
 	if err != nil {
--- a/internal/soak/process.go
+++ b/internal/local/process.go
@@ -1,4 +1,4 @@
-package soak
+package local
 
 import (
 	"bytes"
@@ -30,18 +30,20 @@
 	portStore    = 7009
 )
 
-// process is a real process of the system under test.
-type process struct {
-	name string
-	ip   netip.Addr
+// Process is a process of the program. It is safe for concurrent use.
+type Process struct {
+	// Name and IP tell the process apart from others.
+	Name string
+	IP   netip.Addr
+	// Beside is held while the backend server beside the process is stopped and started.
+	Beside sync.Mutex
+
 	args []string
 	file string
 	log  *os.File
-	// beside is held while the backend server beside the process is stopped and started.
-	beside sync.Mutex
 
 	mu sync.Mutex
-	// cmd is the running process, nil while there is none; expected says that the soak ended it.
+	// cmd is the running process, nil while there is none; expected says that it was told to end.
 	cmd      *exec.Cmd
 	done     chan struct{}
 	expected bool
@@ -50,11 +52,11 @@
 	planned bool
 	harmed  time.Time
 	started time.Time
-	// exits counts ends that the soak did not cause.
+	// exits counts ends that nobody asked for.
 	exits int
 }
 
-func newProcess(dir, binary, name, command string, ip netip.Addr, settings string) (*process, error) {
+func newProcess(dir, binary, name, command string, ip netip.Addr, settings string) (*Process, error) {
 	file := filepath.Join(dir, name+".toml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings")
@@ -63,11 +65,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "log")
 	}
-	return &process{name: name, ip: ip, args: []string{binary, command, "-config", file}, file: file, log: log, harmed: time.Now()}, nil
+	return &Process{Name: name, IP: ip, args: []string{binary, command, "-config", file}, file: file, log: log, harmed: time.Now()}, nil
 }
 
-// start starts the process, unless it runs.
-func (p *process) start() error {
+// Start starts the process, unless it runs.
+func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd != nil {
@@ -76,7 +78,7 @@
 	cmd := exec.Command(p.args[0], p.args[1:]...)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
-		return errors.Wrapf(err, "start %s", p.name)
+		return errors.Wrapf(err, "start %s", p.Name)
 	}
 	if !p.planned {
 		p.harmed = time.Now()
@@ -87,14 +89,14 @@
 	return nil
 }
 
-func (p *process) wait(cmd *exec.Cmd, done chan struct{}) {
+func (p *Process) wait(cmd *exec.Cmd, done chan struct{}) {
 	err := cmd.Wait()
 	defer close(done)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.expected {
 		p.exits++
-		_, _ = fmt.Fprintf(p.log, "soak: process ended by itself: %v\n", err)
+		_, _ = fmt.Fprintf(p.log, "local: process ended by itself: %v\n", err)
 	}
 	p.cmd = nil
 	if !p.planned {
@@ -102,9 +104,9 @@
 	}
 }
 
-// signal sends a signal; one that ends the process is remembered as the soak's doing. The channel is closed when the
+// Signal sends a signal; one that ends the process is remembered as asked for. The channel is closed when the
 // process has ended.
-func (p *process) signal(sig syscall.Signal) <-chan struct{} {
+func (p *Process) Signal(sig syscall.Signal) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.cmd == nil {
@@ -129,35 +131,35 @@
 	return p.done
 }
 
-// end ends the process and waits for its end.
-func (p *process) end() {
-	p.signal(syscall.SIGCONT)
-	<-p.signal(syscall.SIGKILL)
+// End ends the process and waits for its end.
+func (p *Process) End() {
+	p.Signal(syscall.SIGCONT)
+	<-p.Signal(syscall.SIGKILL)
 }
 
-// touch notes that something was done to the process's links.
-func (p *process) touch() {
+// Touch notes that something was done to the process's links.
+func (p *Process) Touch() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.harmed = time.Now()
 }
 
-// calm reports whether the process has run undisturbed for a while.
-func (p *process) calm(now time.Time, window time.Duration) bool {
+// Calm reports whether the process has run undisturbed for a while.
+func (p *Process) Calm(now time.Time, window time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.cmd != nil && !p.paused && now.Sub(p.harmed) > window && now.Sub(p.started) > window
 }
 
-// unharmed reports whether nothing but planned work was done to the process for a while.
-func (p *process) unharmed(now time.Time, window time.Duration) bool {
+// Unharmed reports whether nothing but planned work was done to the process for a while.
+func (p *Process) Unharmed(now time.Time, window time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return !p.paused && now.Sub(p.harmed) > window
 }
 
-// edit changes the settings file without changing what it says.
-func (p *process) edit() error {
+// Edit changes the settings file without changing what it says.
+func (p *Process) Edit() error {
 	text, err := os.ReadFile(p.file)
 	if err != nil {
 		return errors.Wrap(err, "edit settings")
@@ -166,13 +168,20 @@
 	return errors.Wrap(os.WriteFile(p.file, text, 0o600), "edit settings")
 }
 
-// ready asks the process whether it takes traffic.
-func (p *process) ready() bool {
+// Ready asks the process whether it takes traffic.
+func (p *Process) Ready() bool {
 	client := http.Client{Timeout: 400 * time.Millisecond}
-	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", p.ip, portReady, fakes.ReadyPath))
+	resp, err := client.Get(fmt.Sprintf("http://%s:%d%s", p.IP, portReady, fakes.ReadyPath))
 	if err != nil {
 		return false
 	}
 	_ = resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
+
+// Exits returns how often the process ended though nobody asked for it.
+func (p *Process) Exits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exits
+}
--- a/internal/soak/proxy.go
+++ b/internal/local/proxy.go
@@ -1,4 +1,4 @@
-package soak
+package local
 
 import (
 	"net"
@@ -9,44 +9,45 @@
 	"github.com/pkg/errors"
 )
 
-// link is what a proxy does to the bytes of its connections.
-type link struct {
-	// delay holds each piece up.
-	delay time.Duration
-	// mute stops the bytes of one direction or both, without closing anything.
-	muteUp, muteDown bool
-	// refuse closes new connections at once.
-	refuse bool
+// Link is what a proxy does to the bytes of its connections.
+type Link struct {
+	// Delay holds each piece up.
+	Delay time.Duration
+	// MuteUp and MuteDown stop the bytes of a direction, without closing anything.
+	MuteUp, MuteDown bool
+	// Refuse closes new connections at once.
+	Refuse bool
 }
 
-// proxy is a TCP proxy on loopback that harms the connections through it.
-type proxy struct {
+// Proxy is a TCP proxy on loopback that can harm the connections through it. It is safe for concurrent use.
+type Proxy struct {
 	ln     net.Listener
 	target netip.AddrPort
 
 	mu    sync.Mutex
-	state link
+	state Link
 	conns map[net.Conn]struct{}
 }
 
-func newProxy(listen, target netip.AddrPort) (*proxy, error) {
+func newProxy(listen, target netip.AddrPort) (*Proxy, error) {
 	ln, err := net.Listen("tcp4", listen.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
-	p := &proxy{ln: ln, target: target, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{ln: ln, target: target, conns: make(map[net.Conn]struct{})}
 	go p.accept()
 	return p, nil
 }
 
-func (p *proxy) set(l link) {
+// Set says what happens to the bytes from now on.
+func (p *Proxy) Set(l Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state = l
 }
 
-// reset breaks all open connections.
-func (p *proxy) reset() {
+// Reset breaks all open connections.
+func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
@@ -57,18 +58,18 @@
 	}
 }
 
-func (p *proxy) get() link {
+func (p *Proxy) get() Link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.state
 }
 
-func (p *proxy) close() {
+func (p *Proxy) close() {
 	_ = p.ln.Close()
-	p.reset()
+	p.Reset()
 }
 
-func (p *proxy) accept() {
+func (p *Proxy) accept() {
 	for {
 		c, err := p.ln.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -77,7 +78,7 @@
 		if err != nil {
 			continue
 		}
-		if p.get().refuse {
+		if p.get().Refuse {
 			_ = c.Close()
 			continue
 		}
@@ -85,7 +86,7 @@
 	}
 }
 
-func (p *proxy) serve(c net.Conn) {
+func (p *Proxy) serve(c net.Conn) {
 	up, err := net.DialTimeout("tcp4", p.target.String(), time.Second)
 	if err != nil {
 		_ = c.Close()
@@ -95,8 +96,8 @@
 	p.conns[c], p.conns[up] = struct{}{}, struct{}{}
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.copy(up, c, func(l link) bool { return l.muteUp }) })
-	wg.Go(func() { p.copy(c, up, func(l link) bool { return l.muteDown }) })
+	wg.Go(func() { p.copy(up, c, func(l Link) bool { return l.MuteUp }) })
+	wg.Go(func() { p.copy(c, up, func(l Link) bool { return l.MuteDown }) })
 	wg.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -105,7 +106,7 @@
 }
 
 // copy passes bytes on until either end closes; muted bytes are swallowed.
-func (p *proxy) copy(to, from net.Conn, muted func(link) bool) {
+func (p *Proxy) copy(to, from net.Conn, muted func(Link) bool) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -114,7 +115,7 @@
 	for {
 		n, err := from.Read(buf)
 		l := p.get()
-		time.Sleep(l.delay)
+		time.Sleep(l.Delay)
 		if n > 0 && !muted(l) {
 			if _, werr := to.Write(buf[:n]); werr != nil {
 				return
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,7 +32,7 @@
 	Length time.Duration
 	// Entries and Clients are the numbers of those, Servers the number of backend servers of each service.
 	Entries, Servers, Clients int
-	// Slot keeps runs at the same time apart, from 0 to MostSlots-1.
+	// Slot keeps runs at the same time apart, from 0 to local.MostSlots-1.
 	Slot int
 	// Loss is the part of clients' packets that the fabric loses.
 	Loss float64
@@ -66,8 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	defer d.close()
-	if err := d.start(ctx); err != nil {
+	defer d.Close()
+	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
 	trafficCtx, stopTraffic := context.WithCancel(ctx)
@@ -118,9 +118,9 @@
 
 // result sums the run up; the last fault was over at a time.
 func (d *deployment) result(over time.Duration) *Result {
-	for _, p := range d.all() {
-		if p.exits > 0 {
-			d.check.broke(exits, "%s ended by itself %d times", p.name, p.exits)
+	for _, p := range d.All() {
+		if n := p.Exits(); n > 0 {
+			d.check.broke(exits, "%s ended by itself %d times", p.Name, n)
 		}
 	}
 	r := &Result{Seed: d.opts.Seed}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,14 +26,10 @@
 	var wg sync.WaitGroup
 	var serial atomic.Int64
 	for i := range d.opts.Clients {
-		c, err := fakes.NewClient(fakes.ClientOptions{
-			Address: netip.AddrPortFrom(d.opts.ip(groupClient, i), portClients), Route: d.route,
-			Forged: func(why string) { d.check.broke(forged, "%s", why) }, Reset: d.reset,
-		})
+		c, err := d.NewClient(i)
 		if err != nil {
 			return err
 		}
-		d.clients = append(d.clients, c)
 		for n := range 2 {
 			u := &user{d: d, client: c, service: services[(i+n)%len(services)], long: n == 0, serial: &serial}
 			wg.Go(func() { u.run(ctx) })
@@ -108,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	if u.flow == nil {
-		if u.flow, err = u.client.Open(ctx, addresses[u.service]); err != nil {
+		if u.flow, err = u.client.Open(ctx, u.d.Address(u.service)); err != nil {
 			return true, err
 		}
 	}
