dev and load run deployments for opaque flows; accepted flows count as load

Package local runs the programs as processes; dev -opaque -check replaces every entry and an agent and drains a server under load, and scenarios with opaque = true measure them.

--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -13,6 +13,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/admin"
 	"github.com/bergamotrun/bergamotrun/internal/devel"
+	"github.com/bergamotrun/bergamotrun/internal/local"
 )
 
 // devToken is the API's token in the dev command, which serves on loopback only.
@@ -24,7 +25,8 @@
 		summary: "run a whole deployment in one process",
 		usage: "Usage: bergamotrun dev [flags]\n\nRuns a deployment of the brief's sizes in one process, with stand-ins for the store, the network and the\n" +
 			"backend servers, and serves until a signal. With -check it sends requests and holds streams while every entry is\n" +
-			"replaced and one agent drains, prints a summary, and fails unless all went well.\n\n" +
+			"replaced and one agent drains, prints a summary, and fails unless all went well. With -opaque it runs the programs\n" +
+			"for opaque flows as processes instead, which end with it.\n\n" +
 			"Example: bergamotrun dev -deployment kalfaoglu\n\n",
 		run: runDev,
 	}
@@ -35,9 +37,14 @@
 	check := inv.flags.Bool("check", false, "check the deployment and end")
 	seed := inv.flags.Uint64("seed", 1, "`seed` of the network's choices")
 	level := inv.flags.String("log", "error", "`level` of the log: debug, info, warn or error")
+	opaque := inv.flags.Bool("opaque", false, "run the programs for opaque flows")
+	slot := inv.flags.Int("slot", 0, "`number` that keeps opaque deployments at the same time apart")
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
+	if *opaque {
+		return inv.devOpaque(ctx, *check, *slot)
+	}
 	log, err := newLog(inv.stderr, *level)
 	if err != nil {
 		return errors.Wrap(err, "-log")
@@ -58,12 +65,21 @@
 }
 
 func runCheck(ctx context.Context, inv *invocation, d *devel.Deployment) error {
+	result, err := d.Check(ctx, inv.progress())
+	return inv.printCheck(result, err)
+}
+
+// progress returns a function that prints lines with the time since now.
+func (i *invocation) progress() func(format string, args ...any) {
 	started := time.Now()
-	note := func(format string, args ...any) {
-		inv.printf("%5.1fs %s\n", time.Since(started).Seconds(), fmt.Sprintf(format, args...))
+	return func(format string, args ...any) {
+		i.printf("%5.1fs %s\n", time.Since(started).Seconds(), fmt.Sprintf(format, args...))
 	}
-	result, err := d.Check(ctx, note)
-	inv.printf("%s\n", result)
+}
+
+// printCheck prints the result of a check, and returns an error unless all went well.
+func (i *invocation) printCheck(result devel.CheckResult, err error) error {
+	i.printf("%s\n", result)
 	if err != nil {
 		return err
 	}
@@ -73,6 +89,42 @@
 	return nil
 }
 
+// workplace returns the program's file, and a new directory for the settings and logs of its processes.
+func workplace(name string) (binary, dir string, err error) {
+	if binary, err = os.Executable(); err != nil {
+		return "", "", errors.Wrap(err, "find the program")
+	}
+	dir, err = os.MkdirTemp("", "bergamotrun-"+name+"-")
+	return binary, dir, errors.Wrap(err, "directory for settings and logs")
+}
+
+// devOpaque runs the programs for opaque flows on this machine, for a check or until ctx ends.
+func (i *invocation) devOpaque(ctx context.Context, check bool, slot int) error {
+	binary, dir, err := workplace("dev")
+	if err != nil {
+		return err
+	}
+	opts := local.CheckOptions(binary, dir, slot)
+	if check {
+		result, err := local.Check(ctx, opts, i.progress())
+		return i.printCheck(result, err)
+	}
+	d, err := local.New(opts)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	if err := d.Start(ctx); err != nil {
+		return err
+	}
+	for _, p := range d.All() {
+		i.printf("%-10s metrics http://%s/metrics\n", p.Name, p.Metrics())
+	}
+	i.printf("\nSettings and logs are in %s. A signal ends it.\n", dir)
+	<-ctx.Done()
+	return nil
+}
+
 // serveDev tells what runs and what to try, and serves until ctx ends.
 func serveDev(ctx context.Context, inv *invocation, d *devel.Deployment, log *zap.Logger) error {
 	ca, err := writeCA(d)
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -32,6 +32,7 @@
 	asJSON := inv.flags.Bool("json", false, "print the result as JSON")
 	seed := inv.flags.Uint64("seed", 0, "`seed` in place of the scenario's")
 	level := inv.flags.String("log", "error", "`level` of the log")
+	slot := inv.flags.Int("slot", 0, "`number` that keeps opaque deployments at the same time apart")
 	if err := inv.parse(0, 1); err != nil {
 		return err
 	}
@@ -39,7 +40,10 @@
 	if err != nil {
 		return errors.Wrap(err, "-log")
 	}
-	opts := load.Options{Policy: *policy, Log: log, Progress: progress(inv)}
+	opts := load.Options{Policy: *policy, Log: log, Progress: progress(inv), Slot: *slot}
+	if opts.Binary, opts.Dir, err = workplace("load"); err != nil {
+		return err
+	}
 	if *suite != "" {
 		return runSuite(ctx, inv, *suite, *seed, opts)
 	}
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -41,15 +41,12 @@
 	if *slot < 0 || *slot >= local.MostSlots {
 		return errors.Errorf("-slot %d: must be 0 to %d", *slot, local.MostSlots-1)
 	}
-	binary, err := os.Executable()
+	binary, base, err := workplace("soak")
 	if err != nil {
-		return errors.Wrap(err, "find the program")
+		return err
 	}
-	base := *dir
-	if base == "" {
-		if base, err = os.MkdirTemp("", "bergamotrun-soak-"); err != nil {
-			return errors.Wrap(err, "-dir")
-		}
+	if *dir != "" {
+		base = *dir
 	}
 	failed := 0
 	for i := range *runs {
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -383,3 +383,20 @@
 	w.Equal(w.next(w.server), []byte{6})
 	w.Equal(w.next(w.caller), nil) // No reset.
 }
+
+// Flows that the server has accepted count as load before they carry anything: 40 clients that open flows at once would
+// otherwise all be sent to the same server.
+func TestUnusedFlowsCountAsLoad(t *testing.T) {
+	w := newWorld(t, true)
+	w.announce(nil)
+	w.from(hop.Head{Kind: hop.Open}, 1, syn)
+	w.Equal(w.agent.Load().Flows, 0)
+	w.back(2, flow.Head{Syn: true, Ack: true})
+	w.Equal(w.agent.Load().Flows, 1)
+	w.back(2, flow.Head{Syn: true, Ack: true})
+	w.from(hop.Head{Kind: hop.Carry}, 3, ack)
+	w.back(4, ack)
+	w.Equal(w.agent.Load().Flows, 1)
+	w.from(hop.Head{Kind: hop.Carry}, 5, flow.Head{Rst: true})
+	w.Equal(w.agent.Load().Flows, 0)
+}
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -64,15 +64,27 @@
 	kept                 [][]byte
 	answered             bool
 	clientFin, serverFin bool
+	// counted says that the count of flows has it.
+	counted bool
 }
 
-// setPhase changes a flow's phase, and keeps the count of open flows.
+// setPhase changes a flow's phase, and counts flows that become open or closed.
 func (a *Agent) setPhase(f *held, p phase) {
-	if f.phase == open {
+	f.phase = p
+	switch {
+	case p == open:
+		a.tally(f)
+	case p == closed && f.counted:
+		f.counted = false
 		a.open--
 	}
-	f.phase = p
-	if p == open {
+}
+
+// tally counts a flow as a part of the server's load: from the server's answer to its opening on, since clients that
+// open many flows before they use them would all be sent to the same server otherwise.
+func (a *Agent) tally(f *held) {
+	if !f.counted {
+		f.counted = true
 		a.open++
 	}
 }
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -222,6 +222,9 @@
 		}
 		f = a.flows.Put(key, held{phase: opening, start: a.server.Starts(), opened: now, answered: true}, now)
 	}
+	if h.Syn && f.phase == opening {
+		a.tally(f)
+	}
 	if !h.Syn && (f.phase == opening || f.phase == tried) {
 		f.start = a.server.Starts()
 		a.setPhase(f, open)
--- a/internal/load/meter.go
+++ b/internal/load/meter.go
@@ -16,13 +16,14 @@
 
 // meter reads the backend servers' use during a measurement.
 type meter struct {
-	r *runner
+	// take reads the servers once.
+	take func() reading
 
 	mu       sync.Mutex
 	readings []reading
 }
 
-func newMeter(r *runner) *meter { return &meter{r: r} }
+func newMeter(take func() reading) *meter { return &meter{take: take} }
 
 // meterInterval is the time between two readings.
 const meterInterval = 250 * time.Millisecond
@@ -42,16 +43,23 @@
 }
 
 func (m *meter) read(at time.Duration) {
-	now := reading{at: at}
-	for _, t := range m.r.service.Targets {
+	now := m.take()
+	now.at = at
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.readings = append(m.readings, now)
+}
+
+// reading reads the use of the service's servers.
+func (r *runner) reading() reading {
+	var now reading
+	for _, t := range r.service.Targets {
 		busy, _ := t.Server.Busy()
 		now.busy = append(now.busy, busy)
 		now.flows = append(now.flows, t.Agent.Flows())
 		now.requests = append(now.requests, t.Server.Requests())
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.readings = append(m.readings, now)
+	return now
 }
 
 // usage returns the readings so far.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -60,19 +60,18 @@
 	Requests int     `json:"requests"`
 	Flows    int     `json:"flows"`
 	// Agent holds the counters of its agent.
-	Agent json.RawMessage `json:"agent"`
+	Agent json.RawMessage `json:"agent,omitempty"`
 }
 
-func (r *runner) servers(first, last reading) []ServerUse {
+func (t *trial) servers(first, last reading) []ServerUse {
 	var out []ServerUse
-	span := float64(last.at-first.at) * float64(r.service.Spec.Slots)
+	span := float64(last.at-first.at) * float64(t.spec.Slots)
 	for i := range first.busy {
 		out = append(out, ServerUse{
-			Slowness: r.slowness(i),
+			Slowness: t.slowness(i),
 			Busy:     float64(last.busy[i]-first.busy[i]) / span,
 			Requests: last.requests[i] - first.requests[i],
 			Flows:    last.flows[i],
-			Agent:    json.RawMessage(r.service.Targets[i].Vars.Get("requests").String()),
 		})
 	}
 	return out
@@ -99,31 +98,45 @@
 	return float64(h.h.ValueAtPercentile(percentile)) / microsPerMs
 }
 
-// result evaluates the measurement without its warm-up.
-func (r *runner) result(usage []reading) *Result {
-	res := &Result{Scenario: r.scenario.Name, Policy: r.opts.Policy, Seed: r.scenario.Seed, Wrong: r.wrong, Broken: r.broken}
+// result evaluates what became of the requests after the warm-up.
+func (t *trial) result() *Result {
+	res := &Result{Scenario: t.scenario.Name, Policy: t.opts.Policy, Seed: t.scenario.Seed, Wrong: t.wrong, Broken: t.broken}
 	shorts, refusals := newHistogram(), newHistogram()
-	for i := range r.arrivals {
-		if r.arrivals[i].at < r.scenario.Warmup.Std() {
+	for i := range t.arrivals {
+		if t.arrivals[i].at < t.scenario.Warmup.Std() {
 			continue
 		}
-		r.count(res, i, shorts, refusals)
+		t.count(res, i, shorts, refusals)
 	}
 	res.ShortP50, res.ShortP99 = shorts.at(percentile50), shorts.at(percentile99)
 	res.RefusedP99 = refusals.at(percentile99)
-	res.BoundP99 = r.boundP99()
-	first, last := between(usage, r.scenario.Warmup.Std(), r.scenario.length())
-	res.Servers = r.servers(first, last)
-	res.Imbalance = r.imbalance(first, last)
+	res.BoundP99 = t.boundP99()
+	res.CrestGoodput, res.Recovery = t.crest()
+	return res
+}
+
+// use adds what the servers did after the warm-up.
+func (t *trial) use(res *Result, usage []reading) {
+	first, last := between(usage, t.scenario.Warmup.Std(), t.scenario.length())
+	res.Imbalance = imbalance(first, last)
 	res.FlowImbalance = flowImbalance(last)
-	res.Attempts = r.attempts(first, last, res.Requests)
-	res.CrestGoodput, res.Recovery = r.crest()
+	res.Attempts = attempts(first, last, res.Requests)
+	res.Servers = t.servers(first, last)
+}
+
+// result adds what the agents and the events' servers did.
+func (r *runner) result(usage []reading) *Result {
+	res := r.trial.result()
+	r.use(res, usage)
+	for i := range res.Servers {
+		res.Servers[i].Agent = json.RawMessage(r.service.Targets[i].Vars.Get("requests").String())
+	}
 	res.Drawn = r.drawn(usage)
 	return res
 }
 
-func (r *runner) count(res *Result, i int, shorts, refusals histogram) {
-	a, o := &r.arrivals[i], &r.outcomes[i]
+func (t *trial) count(res *Result, i int, shorts, refusals histogram) {
+	a, o := &t.arrivals[i], &t.outcomes[i]
 	res.Requests++
 	switch {
 	case o.run == contr.RunNot:
@@ -139,7 +152,7 @@
 		res.Lost++
 	case o.code != http.StatusOK:
 		res.Errors++
-	case a.kind != straggler && o.took > r.scenario.Deadline.Std():
+	case a.kind != straggler && o.took > t.scenario.Deadline.Std():
 		res.Late++
 	default:
 		res.Answered++
@@ -150,21 +163,21 @@
 }
 
 // boundP99 returns the 99th percentile of short requests in the lower bound.
-func (r *runner) boundP99() float64 {
+func (t *trial) boundP99() float64 {
 	var slowness []float64
-	for i := range r.service.Spec.Targets {
-		slowness = append(slowness, r.slowness(i))
+	for i := range t.spec.Targets {
+		slowness = append(slowness, t.slowness(i))
 	}
 	h := newHistogram()
-	for i, d := range bound(r.arrivals, r.service.Spec.Slots, slowness) {
-		if r.arrivals[i].kind == short && r.arrivals[i].at >= r.scenario.Warmup.Std() {
+	for i, d := range bound(t.arrivals, t.spec.Slots, slowness) {
+		if t.arrivals[i].kind == short && t.arrivals[i].at >= t.scenario.Warmup.Std() {
 			h.add(d)
 		}
 	}
 	return h.at(percentile99)
 }
 
-func (r *runner) imbalance(first, last reading) float64 {
+func imbalance(first, last reading) float64 {
 	var used []float64
 	for i := range first.busy {
 		if i < len(last.busy) {
@@ -194,7 +207,7 @@
 	return largest * float64(len(list)) / sum
 }
 
-func (r *runner) attempts(first, last reading, requests int) float64 {
+func attempts(first, last reading, requests int) float64 {
 	seen := 0
 	for i := range first.requests {
 		if i < len(last.requests) {
@@ -205,17 +218,17 @@
 }
 
 // crest returns the goodput during the crest and the time until latency was normal again.
-func (r *runner) crest() (goodput, recovery float64) {
-	if r.scenario.Crest.Factor == 1 {
+func (t *trial) crest() (goodput, recovery float64) {
+	if t.scenario.Crest.Factor == 1 {
 		return 0, 0
 	}
-	from := r.scenario.Warmup.Std() + r.scenario.Crest.At.Std()
-	to := from + r.scenario.Crest.For.Std()
+	from := t.scenario.Warmup.Std() + t.scenario.Crest.At.Std()
+	to := from + t.scenario.Crest.For.Std()
 	before := newHistogram()
 	work := 0.0
-	r.inTime(func(a *arrival, o *outcome) {
+	t.inTime(func(a *arrival, o *outcome) {
 		ended := a.at + o.took
-		if a.at >= r.scenario.Warmup.Std() && ended < from {
+		if a.at >= t.scenario.Warmup.Std() && ended < from {
 			before.add(o.took)
 		}
 		if ended >= from && ended < to {
@@ -223,20 +236,20 @@
 		}
 	})
 	normal := 2 * before.at(percentile99)
-	r.inTime(func(a *arrival, o *outcome) {
+	t.inTime(func(a *arrival, o *outcome) {
 		if a.at >= to && float64(o.took)/float64(time.Millisecond) > normal {
 			recovery = float64(a.at-to) / float64(time.Millisecond)
 		}
 	})
-	return work / (r.capacity() * r.scenario.Crest.For.Std().Seconds()), recovery
+	return work / (t.capacity() * t.scenario.Crest.For.Std().Seconds()), recovery
 }
 
 // inTime calls f with the requests that were answered before their deadline.
-func (r *runner) inTime(f func(a *arrival, o *outcome)) {
-	for i := range r.arrivals {
-		o := &r.outcomes[i]
-		if o.code == http.StatusOK && o.took <= r.scenario.Deadline.Std() {
-			f(&r.arrivals[i], o)
+func (t *trial) inTime(f func(a *arrival, o *outcome)) {
+	for i := range t.arrivals {
+		o := &t.outcomes[i]
+		if o.code == http.StatusOK && o.took <= t.scenario.Deadline.Std() {
+			f(&t.arrivals[i], o)
 		}
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -25,6 +25,10 @@
 	Log    *zap.Logger
 	// Progress is told how many requests have arrived and ended, about once a second.
 	Progress func(arrived, ended int)
+	// Binary is the program, and Dir takes settings and logs, where a scenario runs the programs for opaque flows; Slot
+	// keeps those at the same time apart.
+	Binary, Dir string
+	Slot        int
 }
 
 // outcome is what became of a request.
@@ -37,15 +41,13 @@
 	err    error
 }
 
-// runner runs one measurement.
-type runner struct {
+// trial holds what was asked of a service, and what became of it.
+type trial struct {
 	scenario *Scenario
 	opts     Options
-	d        *devel.Deployment
-	service  *devel.Service
+	spec     devel.ServiceSpec
 	arrivals []arrival
 	outcomes []outcome
-	callers  []*caller.Client
 
 	mu     sync.Mutex
 	ended  int
@@ -53,7 +55,15 @@
 	wrong  int
 }
 
-// Run runs a measurement in one process and returns its result.
+// runner runs one measurement in one process.
+type runner struct {
+	*trial
+	d       *devel.Deployment
+	service *devel.Service
+	callers []*caller.Client
+}
+
+// Run runs a measurement and returns its result.
 func Run(ctx context.Context, s *Scenario, opts Options) (*Result, error) {
 	spec, err := devel.LoadSpec(s.Deployment)
 	if err != nil {
@@ -63,43 +73,84 @@
 	if !ok {
 		return nil, errors.Errorf("there is no policy %q", opts.Policy)
 	}
+	t, err := newTrial(s, spec, opts)
+	if err != nil {
+		return nil, err
+	}
+	if s.Opaque {
+		return runOpaque(ctx, t, spec)
+	}
 	d, err := devel.Start(ctx, devel.Options{Spec: spec, Seed: s.Seed, Log: opts.Log, Policy: policy})
 	if err != nil {
 		return nil, err
 	}
 	defer d.Close()
-	r := &runner{scenario: s, opts: opts, d: d}
+	r := &runner{trial: t, d: d}
 	for _, service := range d.Services() {
 		if service.Spec.Name == s.Service {
 			r.service = service
 		}
 	}
-	if r.service == nil {
-		return nil, errors.Errorf("deployment %s has no service %q", s.Deployment, s.Service)
-	}
 	return r.run(ctx)
 }
 
+func newTrial(s *Scenario, spec *devel.Spec, opts Options) (*trial, error) {
+	for _, service := range spec.Service {
+		if service.Name == s.Service {
+			t := &trial{scenario: s, opts: opts, spec: service}
+			t.arrivals = s.arrivals(t.capacity())
+			t.outcomes = make([]outcome, len(t.arrivals))
+			return t, nil
+		}
+	}
+	return nil, errors.Errorf("deployment %s has no service %q", s.Deployment, s.Service)
+}
+
 // capacity returns the number of slots of the service, as slots of its fastest server.
-func (r *runner) capacity() float64 {
+func (t *trial) capacity() float64 {
 	sum := 0.0
-	for i := range r.service.Spec.Targets {
-		sum += float64(r.service.Spec.Slots) / r.slowness(i)
+	for i := range t.spec.Targets {
+		sum += float64(t.spec.Slots) / t.slowness(i)
 	}
 	return sum
 }
 
-func (r *runner) slowness(i int) float64 {
-	list := r.service.Spec.Slowness
+func (t *trial) slowness(i int) float64 {
+	list := t.spec.Slowness
 	if len(list) == 0 {
 		return 1
 	}
 	return list[i%len(list)]
 }
 
+// play sends each arrival at its time, and returns when all are answered.
+func (t *trial) play(ctx context.Context, start time.Time, send func(*arrival) outcome) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := range t.arrivals {
+		if !sleepUntil(ctx, start.Add(t.arrivals[i].at)) {
+			return ctx.Err()
+		}
+		wg.Go(func() {
+			t.outcomes[i] = send(&t.arrivals[i])
+			t.mu.Lock()
+			t.ended++
+			t.mu.Unlock()
+		})
+	}
+	sleepUntil(ctx, start.Add(t.scenario.length()))
+	return nil
+}
+
+// deadline returns how long an arrival may take.
+func (t *trial) deadline(a *arrival) time.Duration {
+	if a.kind == straggler {
+		return max(t.scenario.Deadline.Std(), 10*a.work)
+	}
+	return t.scenario.Deadline.Std()
+}
+
 func (r *runner) run(ctx context.Context) (*Result, error) {
-	r.arrivals = r.scenario.arrivals(r.capacity())
-	r.outcomes = make([]outcome, len(r.arrivals))
 	for range r.scenario.Flows + r.scenario.Streams {
 		r.callers = append(r.callers, caller.New(caller.Options{TLS: r.d.Authority.Caller(r.service.Spec.Name), Attempts: 1}))
 	}
@@ -148,7 +199,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	start := time.Now()
-	meter := newMeter(r)
+	meter := newMeter(r.reading)
 	var wg sync.WaitGroup
 	for i := range r.scenario.Streams {
 		wg.Add(1)
@@ -160,20 +211,9 @@
 	go r.runEvents(ctx, start)
 	go r.tellProgress(ctx)
 	go meter.run(ctx, start)
-	for i := range r.arrivals {
-		if !sleepUntil(ctx, start.Add(r.arrivals[i].at)) {
-			return nil, ctx.Err()
-		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r.outcomes[i] = r.send(ctx, &r.arrivals[i])
-			r.mu.Lock()
-			r.ended++
-			r.mu.Unlock()
-		}()
+	if err := r.play(ctx, start, func(a *arrival) outcome { return r.send(ctx, a) }); err != nil {
+		return nil, err
 	}
-	sleepUntil(ctx, start.Add(r.scenario.length()))
 	usage := meter.usage()
 	wg.Wait()
 	return r.result(usage), nil
@@ -192,8 +232,8 @@
 	}
 }
 
-func (r *runner) tellProgress(ctx context.Context) {
-	if r.opts.Progress == nil {
+func (t *trial) tellProgress(ctx context.Context) {
+	if t.opts.Progress == nil {
 		return
 	}
 	ticker := time.NewTicker(time.Second)
@@ -203,10 +243,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.mu.Lock()
-			ended := r.ended
-			r.mu.Unlock()
-			r.opts.Progress(len(r.arrivals), ended)
+			t.mu.Lock()
+			ended := t.ended
+			t.mu.Unlock()
+			t.opts.Progress(len(t.arrivals), ended)
 		}
 	}
 }
@@ -226,10 +266,7 @@
 
 // send sends the request of an arrival and waits for its answer.
 func (r *runner) send(ctx context.Context, a *arrival) outcome {
-	deadline := r.scenario.Deadline.Std()
-	if a.kind == straggler {
-		deadline = max(deadline, 10*a.work)
-	}
+	deadline := r.deadline(a)
 	id := fmt.Sprintf("%s-%d", a.kind, a.index)
 	segment := a.kind
 	if r.scenario.Work.Unmarked {
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -17,7 +17,9 @@
 	Name       string `toml:"name"`
 	Deployment string `toml:"deployment"`
 	Service    string `toml:"service"`
-	Seed       uint64 `toml:"seed"`
+	// Opaque runs the programs for opaque flows, as processes.
+	Opaque bool   `toml:"opaque"`
+	Seed   uint64 `toml:"seed"`
 	// Flows is the number of callers, each with one flow.
 	Flows int `toml:"flows"`
 	// Load is the offered work in proportion to the service's capacity.
@@ -87,6 +89,9 @@
 	if err := sett.Decode(file, text, s); err != nil {
 		return nil, err
 	}
+	if s.Opaque && len(s.Against)+len(s.Event)+s.Streams > 0 {
+		return nil, errors.New("opaque = true: against, event and streams can't be combined with it")
+	}
 	return s, s.check()
 }
 
--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -179,6 +179,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// Metrics returns where the process serves its metrics.
+func (p *Process) Metrics() netip.AddrPort { return netip.AddrPortFrom(p.IP, portMetrics) }
+
 // Exits returns how often the process ended though nobody asked for it.
 func (p *Process) Exits() int {
 	p.mu.Lock()
