--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
@@ -215,11 +217,18 @@
 
 func TestFlowThatAllDenyIsReset(t *testing.T) {
 	w := newWorld(t)
+	core, seen := observer.New(zapcore.InfoLevel)
+	w.relay.opts.Flows = zap.New(core)
 	w.packet(1, ack)
 	for _, c := range []*net.UDPConn{w.one, w.two} {
 		w.says(c, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	}
 	w.True(w.isReset())
+	lost := seen.FilterMessage("flow is lost: no agent holds it").All()
+	w.Equal(len(lost), 1)
+	again, err := seek.ParseTrace(lost[0].ContextMap()["answers"].(string), time.Now())
+	w.NoErr(err)
+	w.Equal(again.Next(time.Now()).Action, seek.Lost) // The line has what the verdict rests on.
 }
 
 // A list that was asked for before the flow's packet came denies nothing: the flow may have been opened since.
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -182,7 +182,7 @@
 func (r *Relay) lost(key flow.Key, s *search, now time.Time) {
 	sure := r.opts.Members.Sure()
 	r.opts.Flows.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", sure),
-		zap.Duration("took", now.Sub(s.started)), zap.Bool("fin", s.head.Fin), zap.Int("len", s.head.Len))
+		zap.Duration("took", now.Sub(s.started)), zap.Bool("fin", s.head.Fin), zap.Int("len", s.head.Len), zap.String("answers", s.Trace()))
 	r.counts.Add("lost", 1)
 	if sure && !s.head.Rst {
 		r.reset(s.head)
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -119,3 +119,25 @@
 	s.Answer(agentB, Held)
 	is.Equal(s.Next(at(0)), Step{Action: Deliver, Agents: []netip.AddrPort{agentB}})
 }
+
+// What was logged of a lost flow is enough to come to the same verdict.
+func TestTraceGivesTheSameVerdict(t *testing.T) {
+	is := is.New(t)
+	for _, answers := range [][]Verdict{{Denied, Denied}, {Denied, 0}, {Denied, Perhaps}, {Held, Denied}, {Opening, Denied}} {
+		for _, silent := range []bool{false, true} {
+			s := New([]Candidate{{Agent: agentA}, {Agent: agentB, Silent: silent}}, base)
+			for i, v := range answers {
+				if v != 0 {
+					s.Answer([]netip.AddrPort{agentA, agentB}[i], v)
+				}
+			}
+			again, err := ParseTrace(s.Trace(), at(answerTime))
+			is.NoErr(err)
+			is.Equal(again.Next(at(answerTime)), s.Next(at(answerTime)))
+		}
+	}
+	for _, bad := range []string{"x,denied", "10.0.0.1:1", "10.0.0.1:1,gone"} {
+		_, err := ParseTrace(bad, base)
+		is.True(err != nil)
+	}
+}
--- a/tests/kinds_test.go
+++ b/tests/kinds_test.go
@@ -119,7 +119,7 @@
 		return err
 	}
 	b.WriteString("# Opaque flows\n\n")
-	b.WriteString("Kinds of trouble on the users' platform, from the same test file's neighbour tests/kinds_test.go. Each is played alone and\n")
+	b.WriteString("Kinds of trouble on the users' platform, made from tests/kinds_test.go. Each is played alone and\n")
 	b.WriteString("more than once by a day of its own under deploy/kinds/, and together with others by days under deploy/days/, which hunts\n")
 	b.WriteString("vary. No day broke a rule; the figures stand in journal/.\n\n")
 	b.WriteString("| kind | what must hold | alone | with others | tests without the bench |\n| --- | --- | --- | --- | --- |\n")
