--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -14,6 +14,7 @@
 const (
 	KindState Kind = iota + 16
 	KindRoll
+	KindPulse
 )
 
 // State is the heartbeat of a process that carries opaque flows.
@@ -29,6 +30,17 @@
 	Hello bool `cbor:"5,keyasint,omitempty"`
 }
 
+// Pulse is a heartbeat to a process that knows the sender's record: a third to a half of a State's size.
+type Pulse struct {
+	// Packets and Incarnation name the sender's record.
+	Packets     netip.AddrPort `cbor:"1,keyasint"`
+	Incarnation uint64         `cbor:"2,keyasint"`
+	// Server, Version and Age are as in a State; a pulse without them only says that the sender lives.
+	Server  *ServerLoad   `cbor:"3,keyasint,omitempty"`
+	Version uint64        `cbor:"4,keyasint,omitempty"`
+	Age     time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
 // ServerLoad is the load of a backend server, as its agent sees it.
 type ServerLoad struct {
 	// Ready says that the server takes new flows.
--- /dev/null
+++ b/internal/memb/beat.go
@@ -0,0 +1,88 @@
+package memb
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+)
+
+// round is a round of heartbeats: the whole state for those that may not know the record, a pulse for the others, and
+// a pulse that only shows life for those to which the load isn't worth its bytes each time.
+type round struct {
+	state              ctrl.State
+	full, pulse, alive []netip.AddrPort
+}
+
+// round prepares a round of heartbeats, to the own failure domain only if near is set. The caller holds the lock.
+func (n *Node) round(now time.Time, near bool) round {
+	r := round{state: n.state(now)}
+	changed := n.self.Newer(&n.told)
+	if !near {
+		n.beats++
+		n.told = n.self
+	}
+	for a, p := range n.peers {
+		record, ok := n.view.Get(a)
+		if !ok || !n.tells(&record) {
+			continue
+		}
+		far := record.Domain != n.self.Domain
+		switch {
+		case near && far:
+		case changed || p.full < fullBeats || (!near && n.beats%fullEvery == 0):
+			p.full++
+			r.full = append(r.full, record.Control)
+		case far && n.opts.Load != nil && n.beats%farEvery != 0:
+			r.alive = append(r.alive, record.Control)
+		default:
+			r.pulse = append(r.pulse, record.Control)
+		}
+	}
+	return r
+}
+
+// sendRound sends a round of heartbeats, with the server's load as it is now.
+func (n *Node) sendRound(r round) {
+	n.addLoad(&r.state)
+	pulse := ctrl.Pulse{
+		Packets: r.state.Record.Packets, Incarnation: r.state.Record.Incarnation,
+		Server: r.state.Server, Version: r.state.Version, Age: r.state.Age,
+	}
+	alive := ctrl.Pulse{Packets: pulse.Packets, Incarnation: pulse.Incarnation}
+	for _, err := range []error{
+		ctrl.Broadcast(n.opts.Link, r.full, ctrl.KindState, r.state),
+		ctrl.Broadcast(n.opts.Link, r.pulse, ctrl.KindPulse, pulse),
+		ctrl.Broadcast(n.opts.Link, r.alive, ctrl.KindPulse, alive),
+	} {
+		if err != nil {
+			n.opts.Log.Debug("heartbeat not sent", zap.Error(err))
+		}
+	}
+}
+
+// send sends the whole state, with the server's load as it is now.
+func (n *Node) send(state ctrl.State, to []netip.AddrPort) {
+	n.addLoad(&state)
+	if err := ctrl.Broadcast(n.opts.Link, to, ctrl.KindState, state); err != nil {
+		n.opts.Log.Debug("heartbeat not sent", zap.Error(err))
+	}
+}
+
+func (n *Node) addLoad(state *ctrl.State) {
+	if n.opts.Load != nil {
+		load := n.opts.Load()
+		state.Server = &load
+	}
+}
+
+// state returns the node's state without its server's load. The caller holds the lock.
+func (n *Node) state(now time.Time) ctrl.State {
+	s := ctrl.State{Record: n.self}
+	if n.table != nil {
+		s.Version, s.Age = n.table.Version, n.clock.Age(now)
+	}
+	return s
+}
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -30,9 +30,9 @@
 	d.records = append(d.records, r)
 	return nil
 }
-func (*directory) Keep(context.Context) error                    { return nil }
-func (*directory) Interval() time.Duration                       { return time.Minute }
-func (d *directory) List(context.Context) ([]view.Record, error) { return d.records, nil }
+func (*directory) Keep(context.Context) error                          { return nil }
+func (*directory) Interval() time.Duration                             { return time.Minute }
+func (d *directory) List(context.Context, bool) ([]view.Record, error) { return d.records, nil }
 func (d *directory) Leave(context.Context) error {
 	d.leaves++
 	return nil
@@ -50,7 +50,8 @@
 	is.NoErr(err)
 	conf, err := secret.TLS()
 	is.NoErr(err)
-	ln, link, err := ctrl.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"), conf, ctrl.NewCodec(secret), new(expvar.Map))
+	vars := new(expvar.Map)
+	ln, link, err := ctrl.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"), conf, ctrl.NewCodec(secret), vars)
 	is.NoErr(err)
 	t.Cleanup(func() {
 		_ = link.Close()
@@ -58,7 +59,7 @@
 	})
 	return New(Options{
 		Self: view.Record{Packets: self, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
-		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, Bound: bound, Log: zap.NewNop(), Vars: new(expvar.Map),
+		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, Bound: bound, Log: zap.NewNop(), Vars: vars,
 	})
 }
 
@@ -183,3 +184,85 @@
 	is.NoErr(n.keepListed(ctx))
 	is.Equal(d.leaves, 0)
 }
+
+// Most heartbeats are pulses, which hold no record; those that only show life leave the load and its age as they are, and
+// say nothing of how new the configuration is.
+func TestPulses(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	pulse := ctrl.Pulse{Packets: other, Incarnation: 1, Server: &ctrl.ServerLoad{Ready: true, Pending: 3}, Version: 7}
+	n.onPulse(other, pulse)
+	is.Equal(len(n.peers), 0) // Of an unknown record.
+	n.onState(other, ctrl.State{Record: agent("desk"), Server: &ctrl.ServerLoad{Ready: true}, Version: 7})
+	n.onPulse(other, pulse)
+	p := n.peers[other]
+	is.Equal(p.load.Pending, 3)
+	n.adopt(route.New(7, nil, time.Second), time.Now().Add(-time.Second), "test")
+	told, age := p.loaded, n.Age()
+	p.heard = p.heard.Add(-time.Second)
+	n.onPulse(other, ctrl.Pulse{Packets: other, Incarnation: 1})
+	is.True(time.Since(p.heard) < time.Second)
+	is.Equal(p.loaded, told)
+	is.Equal(p.version, uint64(7))
+	is.True(n.Age() >= age)
+	heard := p.heard
+	n.onPulse(other, ctrl.Pulse{Packets: other, Incarnation: 2})
+	is.Equal(p.heard, heard) // Of a later process, whose record is not known yet.
+}
+
+// Processes that were just met get whole records, later ones mostly pulses; an agent tells its load to other failure domains
+// half as often. Bytes between domains are dear.
+func TestRoundsOfHeartbeats(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	n.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+	near, far := view.Record{Packets: other, Control: other, Role: view.Entry, Domain: "a", Incarnation: 1, State: view.Up}, view.Record{}
+	far = near
+	far.Packets, far.Control, far.Domain = netip.MustParseAddrPort("10.0.0.9:1"), netip.MustParseAddrPort("10.0.0.9:2"), "b"
+	n.onState(near.Control, ctrl.State{Record: near})
+	n.onState(far.Control, ctrl.State{Record: far})
+	full, pulse, alive := 0, 0, 0
+	const rounds = 23
+	for range rounds {
+		r := n.round(time.Now(), false)
+		full, pulse, alive = full+len(r.full), pulse+len(r.pulse), alive+len(r.alive)
+		is.Equal(len(r.full)+len(r.pulse)+len(r.alive), 2)
+	}
+	is.Equal(full, 2*(fullBeats+(rounds-fullBeats)/fullEvery))
+	is.Equal(alive, 8) // Of the 16 later ones to the other domain.
+	n.Stop(view.Draining)
+	is.Equal(n.told.State, view.Draining)
+	r := n.round(time.Now(), true)
+	is.Equal(len(r.full)+len(r.pulse)+len(r.alive), 1) // Only the near one.
+}
+
+// counted returns a counter of a node's messages.
+func counted(n *Node, name string) int64 {
+	if v, ok := n.opts.Vars.Get(name).(*expvar.Int); ok {
+		return v.Value()
+	}
+	return 0
+}
+
+// A process that greets again and again, as it does while it is young, is answered once a second, and an agent is told of
+// entries only: many that start at once would otherwise choke the few that all of them greet.
+func TestGreetingsAreAnsweredSparingly(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(directory))
+	for i := range 200 {
+		r := agent("desk")
+		r.Packets = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 1)
+		n.onState(r.Packets, ctrl.State{Record: r})
+	}
+	sent := func() int64 { return counted(n, "messages_out") }
+	asker := agent("desk")
+	before := sent()
+	n.onState(asker.Control, ctrl.State{Record: asker, Hello: true})
+	is.Equal(sent()-before, int64(1)) // The node is the only entry.
+	n.onState(asker.Control, ctrl.State{Record: asker, Hello: true})
+	is.Equal(sent()-before, int64(1))
+	young := asker
+	young.Packets, young.Role = netip.MustParseAddrPort("10.8.0.1:1"), view.Entry
+	n.onState(asker.Control, ctrl.State{Record: young, Hello: true})
+	is.Equal(sent()-before, int64(1+answerMost/ctrl.RollMost))
+}
--- a/internal/memb/member.go
+++ b/internal/memb/member.go
@@ -31,7 +31,7 @@
 			Near:  r.Domain == n.self.Domain,
 			Ready: r.State == view.Up && p.tells && !p.silent && p.load.Ready,
 			Load:  toLoad(&p.load),
-			Age:   now.Sub(p.heard),
+			Age:   now.Sub(p.loaded),
 			Sent:  p.sent,
 		})
 	}
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -40,6 +40,13 @@
 	// pauseGap is the gap between two ticks that shows that the process itself was not running.
 	pauseGap = 700 * time.Millisecond
 	tick     = 50 * time.Millisecond
+	// fullBeats is how many heartbeats to a process that was just met hold the whole record, so that it knows it even when
+	// one is lost; fullEvery is the part of the later ones that do, which mends what a process has missed.
+	fullBeats = 3
+	fullEvery = 5
+	// farEvery is the part of an agent's heartbeats to other failure domains that tell its load: bytes between domains are
+	// dear, and servers there are the second choice.
+	farEvery = 2
 )
 
 // Source gives the configuration.
@@ -56,7 +63,8 @@
 	Keep(ctx context.Context) error
 	// Interval is how often Keep must be called.
 	Interval() time.Duration
-	List(ctx context.Context) ([]view.Record, error)
+	// List may leave out the changes of the last seconds if stale is set, which costs the store less.
+	List(ctx context.Context, stale bool) ([]view.Record, error)
 	Leave(ctx context.Context) error
 }
 
@@ -98,16 +106,24 @@
 	// listed is when the directory was read last.
 	listed time.Time
 	beaten time.Time
-	news   chan struct{}
-	read   chan struct{}
+	// beats counts heartbeats; told is the own record as they told it last.
+	beats int
+	told  view.Record
+	news  chan struct{}
+	read  chan struct{}
 }
 
 // peer is what was heard of another process.
 type peer struct {
 	heard  time.Time
 	silent bool
+	// load is the server's load as told at loaded; sent is how many new flows it got since.
 	load   ctrl.ServerLoad
+	loaded time.Time
 	sent   int
+	// full is how many heartbeats with the whole record were sent to the process, answered when it was told of all others.
+	full     int
+	answered time.Time
 	// version is the version of the configuration that the process told last.
 	version uint64
 	// tells says that the process was heard at all, and not only listed.
@@ -125,6 +141,7 @@
 	}
 	n.view.Merge(opts.Self, now)
 	opts.Link.On(ctrl.KindState, ctrl.Handle(n.onState))
+	opts.Link.On(ctrl.KindPulse, ctrl.Handle(n.onPulse))
 	opts.Link.On(ctrl.KindRoll, ctrl.Handle(n.onRoll))
 	opts.Vars.Set("config_version", expvar.Func(func() any { return n.Version() }))
 	opts.Vars.Set("config_age_seconds", expvar.Func(func() any { return n.Age().Seconds() }))
@@ -176,7 +193,7 @@
 	if gap > pauseGap {
 		n.opts.Log.Warn("process was not running", zap.Duration("gap", gap))
 		for _, p := range n.peers {
-			p.heard = p.heard.Add(gap)
+			p.heard, p.loaded = p.heard.Add(gap), p.loaded.Add(gap)
 		}
 	}
 	n.noteSilence(now)
@@ -207,9 +224,9 @@
 // HurryNear tells the node's state to the entries of its own failure domain at once, where news cost little.
 func (n *Node) HurryNear() {
 	n.mu.Lock()
-	state, to := n.state(time.Now()), n.audience(true)
+	r := n.round(time.Now(), true)
 	n.mu.Unlock()
-	n.send(state, to)
+	n.sendRound(r)
 }
 
 func (n *Node) noteSilence(now time.Time) {
@@ -233,42 +250,14 @@
 func (n *Node) beat(now time.Time) {
 	n.mu.Lock()
 	n.beaten = now
-	state := n.state(now)
-	to := n.audience(false)
+	r := n.round(now, false)
 	n.mu.Unlock()
-	n.send(state, to)
-}
-
-// send sends a heartbeat, with the server's load as it is now.
-func (n *Node) send(state ctrl.State, to []netip.AddrPort) {
-	if n.opts.Load != nil {
-		load := n.opts.Load()
-		state.Server = &load
-	}
-	if err := ctrl.Broadcast(n.opts.Link, to, ctrl.KindState, state); err != nil {
-		n.opts.Log.Debug("heartbeat not sent", zap.Error(err))
-	}
-}
-
-func (n *Node) state(now time.Time) ctrl.State {
-	s := ctrl.State{Record: n.self}
-	if n.table != nil {
-		s.Version, s.Age = n.table.Version, n.clock.Age(now)
-	}
-	return s
+	n.sendRound(r)
 }
 
-// audience returns the control addresses of the processes that are told the node's state, or of those among them that
-// are in its failure domain.
-func (n *Node) audience(near bool) []netip.AddrPort {
-	var to []netip.AddrPort
-	for a := range n.peers {
-		r, ok := n.view.Get(a)
-		if ok && r.State != view.Gone && (n.opts.Load == nil || r.Role == view.Entry) && (!near || r.Domain == n.self.Domain) {
-			to = append(to, r.Control)
-		}
-	}
-	return to
+// tells reports whether the process of a record is told this one's state: agents don't need each other.
+func (n *Node) tells(r *view.Record) bool {
+	return r.State != view.Gone && (n.opts.Load == nil || r.Role == view.Entry)
 }
 
 // onState takes another process's heartbeat over.
@@ -297,7 +286,23 @@
 		go n.fetch(from, s.Version)
 	}
 	if s.Hello {
-		n.tellAll(from)
+		n.tellAll(from, s.Record)
+	}
+}
+
+// onPulse takes the heartbeat of a process over whose record is known. Else one of its next heartbeats has the record.
+func (n *Node) onPulse(from netip.AddrPort, p ctrl.Pulse) {
+	now := time.Now()
+	n.mu.Lock()
+	r, known := n.view.Get(p.Packets)
+	peer := n.peers[p.Packets]
+	known = known && peer != nil && r.Incarnation == p.Incarnation && r.State != view.Lost && r.State != view.Gone
+	if known && p.Version == 0 {
+		peer.tell(&ctrl.State{Record: r, Server: p.Server, Version: peer.version}, now, n.opts.Log)
+	}
+	n.mu.Unlock()
+	if known && p.Version > 0 {
+		n.onState(from, ctrl.State{Record: r, Server: p.Server, Version: p.Version, Age: p.Age})
 	}
 }
 
@@ -311,7 +316,7 @@
 		p.away = now
 	}
 	if s.Server != nil {
-		p.load, p.sent = *s.Server, 0
+		p.load, p.loaded, p.sent = *s.Server, now, 0
 	}
 }
 
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -271,7 +271,7 @@
 			return err
 		}
 	}
-	records, err := n.opts.Directory.List(ctx)
+	records, err := n.opts.Directory.List(ctx, put)
 	if err != nil {
 		return err
 	}
@@ -347,12 +347,30 @@
 	return out
 }
 
-// tellAll tells a process of all that are thought to live.
-func (n *Node) tellAll(to netip.AddrPort) {
+const (
+	// answerEvery is the shortest time between two answers to a greeting, which young processes repeat since datagrams
+	// get lost.
+	answerEvery = time.Second
+	// answerMost is how many records an answer holds: ten datagrams, so that a process that many greet at once isn't
+	// choked. Rumors and the directory tell the rest.
+	answerMost = 10 * ctrl.RollMost
+)
+
+// tellAll tells a process that greets of those that it needs to know and that are thought to live.
+func (n *Node) tellAll(to netip.AddrPort, asker view.Record) {
+	now := time.Now()
 	n.mu.Lock()
+	if p := n.peers[asker.Packets]; p != nil {
+		if now.Sub(p.answered) < answerEvery {
+			n.mu.Unlock()
+			return
+		}
+		p.answered = now
+	}
 	records := []view.Record{n.self}
-	for a, p := range n.peers {
-		if r, ok := n.view.Get(a); ok && r.State == view.Up && !p.silent {
+	for a, p := range n.peers { // Maps are walked in random order.
+		r, ok := n.view.Get(a)
+		if ok && r.State == view.Up && !p.silent && (asker.Role == view.Entry || r.Role == view.Entry) && len(records) < answerMost {
 			records = append(records, r)
 		}
 	}
