--- a/internal/local/fabric.go
+++ b/internal/local/fabric.go
@@ -48,11 +48,26 @@
 func (d *Deployment) route(client, service netip.AddrPort) (netip.AddrPort, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.rotation) == 0 || rand.Float64() < d.opts.Loss {
+	if len(d.rotation) == 0 || rand.Float64() < d.loss {
 		return netip.AddrPort{}, false
 	}
 	n := int(client.Port()) + int(client.Addr().As4()[3])*31 + int(service.Port())
-	return netip.AddrPortFrom(d.rotation[n%len(d.rotation)].IP, portClients), true
+	p := d.rotation[n%len(d.rotation)]
+	return netip.AddrPortFrom(p.IP, portClients), p != d.cut
+}
+
+// SetLoss changes the part of clients' packets that the fabric loses.
+func (d *Deployment) SetLoss(part float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loss = part
+}
+
+// Cut makes the fabric lose all packets to an entry, which stays in rotation; nil ends that.
+func (d *Deployment) Cut(entry *Process) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut = entry
 }
 
 // AwaitEntries waits until the fabric sends packets to all entries. It returns an error when that takes too long.
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -100,11 +100,14 @@
 	// rotation are the entries that the fabric sends packets to.
 	rotation []*Process
 	misses   map[*Process]int
-	servers  map[*Process]*fakes.Server
-	born     int
-	version  uint64
-	extra    []fakes.Route
-	clients  []*fakes.Client
+	// loss is the part of clients' packets that the fabric loses, cut the entry to which it loses all.
+	loss    float64
+	cut     *Process
+	servers map[*Process]*fakes.Server
+	born    int
+	version uint64
+	extra   []fakes.Route
+	clients []*fakes.Client
 }
 
 // place says which server of which service is beside an agent.
@@ -135,7 +138,7 @@
 		return nil, errors.Errorf("slot %d: must be 0 to %d", opts.Slot, MostSlots-1)
 	}
 	d := &Deployment{
-		opts: opts, Store: fakes.NewStore(), Proxies: make(map[*Process]*Proxy), addresses: make(map[string]netip.AddrPort),
+		opts: opts, loss: opts.Loss, Store: fakes.NewStore(), Proxies: make(map[*Process]*Proxy), addresses: make(map[string]netip.AddrPort),
 		beside: make(map[*Process]place), misses: make(map[*Process]int), servers: make(map[*Process]*fakes.Server),
 	}
 	storeAt := netip.AddrPortFrom(opts.ip(groupStore, 0), portStore)
@@ -240,7 +243,10 @@
 }
 
 // StartServer starts a new server beside an agent, in place of the former one.
-func (d *Deployment) StartServer(p *Process) error {
+func (d *Deployment) StartServer(p *Process) error { return d.StartServerAt(p, 0) }
+
+// StartServerAt is StartServer for a server whose time of day is ahead by clock.
+func (d *Deployment) StartServerAt(p *Process, clock time.Duration) error {
 	d.mu.Lock()
 	d.born++
 	id := fmt.Sprintf("s-%d", d.born)
@@ -259,8 +265,8 @@
 		ID: id, Service: service.Name, Domain: d.domainOf(p),
 		App: netip.AddrPortFrom(p.IP, portServer), Outbound: netip.AddrPortFrom(p.IP, portOutbound),
 		Control: netip.AddrPortFrom(p.IP, portAnnounce), Slots: service.Slots, Queue: service.Queue, Interval: heartbeat,
-		Work:    func(request string) time.Duration { return time.Duration(slowness * float64(d.opts.Work(request))) },
-		Watcher: d.opts.Watcher,
+		Work:  func(request string) time.Duration { return time.Duration(slowness * float64(d.opts.Work(request))) },
+		Clock: clock, Watcher: d.opts.Watcher,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -39,7 +39,12 @@
 		{"link one way", linkFault(local.Link{MuteDown: true})},
 		{"link refused", linkFault(local.Link{Refuse: true})},
 		{"links reset", func(_ context.Context, d *deployment, r *rand.Rand) { d.resetLinks(some(r, d.All())) }},
-		{"server crashes", func(ctx context.Context, d *deployment, r *rand.Rand) { d.crash(ctx, r) }},
+		{"fabric loses", func(ctx context.Context, d *deployment, r *rand.Rand) { d.lose(ctx, r) }},
+		{"fabric cuts an entry", func(ctx context.Context, d *deployment, r *rand.Rand) { d.cutEntry(ctx, r) }},
+		{"server crashes", func(ctx context.Context, d *deployment, r *rand.Rand) { d.crash(ctx, r, 0) }},
+		{"server crashes, clock steps", func(ctx context.Context, d *deployment, r *rand.Rand) {
+			d.crash(ctx, r, time.Duration(r.IntN(2*clockSteps+1)-clockSteps)*time.Second)
+		}},
 		{"server replaced", func(ctx context.Context, d *deployment, r *rand.Rand) { d.replace(ctx, r) }},
 		{"configurations", func(ctx context.Context, d *deployment, r *rand.Rand) { d.configurations(ctx, r) }},
 	}
@@ -164,7 +169,32 @@
 	}
 }
 
-func (d *deployment) crash(ctx context.Context, r *rand.Rand) {
+const (
+	// lossMost is the part of packets that the fabric loses at the worst.
+	lossMost = 0.15
+	// clockSteps is how many seconds a server's clock is stepped at the most, either way.
+	clockSteps = 90
+)
+
+// lose makes the fabric lose many packets for a while.
+func (d *deployment) lose(ctx context.Context, r *rand.Rand) {
+	d.SetLoss(lossMost * r.Float64())
+	between(ctx, r, time.Second, 6*time.Second)
+	d.SetLoss(d.opts.Loss)
+}
+
+// cutEntry makes the fabric lose all packets to an entry for a while.
+func (d *deployment) cutEntry(ctx context.Context, r *rand.Rand) {
+	p := d.Entries[r.IntN(len(d.Entries))]
+	p.Touch()
+	d.Cut(p)
+	between(ctx, r, time.Second, 6*time.Second)
+	d.Cut(nil)
+	p.Touch()
+}
+
+// crash ends a server and starts another one in its place, whose time of day is ahead by clock.
+func (d *deployment) crash(ctx context.Context, r *rand.Rand, clock time.Duration) {
 	p := d.Agents[r.IntN(len(d.Agents))]
 	p.Beside.Lock()
 	defer p.Beside.Unlock()
@@ -172,7 +202,7 @@
 	d.Server(p).Stop(false)
 	between(ctx, r, 200*time.Millisecond, 3*time.Second)
 	p.Touch()
-	if err := d.StartServer(p); err != nil {
+	if err := d.StartServerAt(p, clock); err != nil {
 		d.check.broke(exits, "%s", err)
 	}
 }
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -115,10 +115,15 @@
 	if err != nil {
 		return false, err
 	}
+	return false, u.verify(request, answer)
+}
+
+// verify checks that an answer is the service's answer to a request.
+func (u *user) verify(request, answer string) error {
 	got, service, _, ok := fakes.ParseAnswer(answer)
 	if !ok || got != request || service != u.service {
 		u.d.check.broke(mixed, "request %s got the answer %q", request, answer)
-		return false, errors.New("wrong answer")
+		return errors.New("wrong answer")
 	}
-	return false, nil
+	return nil
 }
