--- a/internal/memb/beat.go
+++ b/internal/memb/beat.go
@@ -19,31 +19,36 @@
 // round prepares a round of heartbeats, to the own failure domain only if near is set. The caller holds the lock.
 func (n *Node) round(now time.Time, near bool) round {
 	r := round{state: n.state(now)}
-	changed := n.self.Newer(&n.told)
+	full := n.self.Newer(&n.told)
 	if !near {
 		n.beats++
 		n.told = n.self
+		full = full || n.beats%fullEvery == 0
 	}
 	for a, p := range n.peers {
 		record, ok := n.view.Get(a)
-		if !ok || !n.tells(&record) {
+		far := record.Domain != n.self.Domain
+		if !ok || !n.tells(&record) || (near && far) {
 			continue
 		}
-		far := record.Domain != n.self.Domain
-		switch {
-		case near && far:
-		case changed || p.full < fullBeats || (!near && n.beats%fullEvery == 0):
+		to := n.listFor(&r, far)
+		if full || p.full < fullBeats {
 			p.full++
-			r.full = append(r.full, record.Control)
-		case far && n.opts.Load != nil && n.beats%farEvery != 0:
-			r.alive = append(r.alive, record.Control)
-		default:
-			r.pulse = append(r.pulse, record.Control)
+			to = &r.full
 		}
+		*to = append(*to, record.Control)
 	}
 	return r
 }
 
+// listFor returns the list of those that get a pulse as a process near or far does.
+func (n *Node) listFor(r *round, far bool) *[]netip.AddrPort {
+	if far && n.opts.Load != nil && n.beats%farEvery != 0 {
+		return &r.alive
+	}
+	return &r.pulse
+}
+
 // sendRound sends a round of heartbeats, with the server's load as it is now.
 func (n *Node) sendRound(r round) {
 	n.addLoad(&r.state)
