--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -28,6 +28,9 @@
 	farFactor = 1.15
 	// farPart is the part of the route's objective that a far server must gain to get a single request.
 	farPart = 0.12
+	// firstPart is the utilization that a long flow's server may have more to spare its first request a wait as long as the
+	// objective.
+	firstPart = 0.15
 	// queueWeight is the part of a service time that each request in progress adds below full slots.
 	queueWeight = 0.5
 	// suspectPart is the part of the service time expected by its health check below which a server is suspect: four times
@@ -193,6 +196,10 @@
 	l := &m.Load
 	demand := s.perFlow*float64(l.Flows+m.Sent+1) + l.First
 	u := demand * l.service(s).Seconds() / l.slots()
+	if f.Objective > 0 {
+		wait := max(0, m.pending(s)+1-l.slots()) / l.slots() * l.service(s).Seconds()
+		u += firstPart * min(1, wait/f.Objective.Seconds())
+	}
 	if m.Near {
 		if u < calm {
 			u /= 1 + calm - u // Keeps the order among near servers and puts them before far ones.
@@ -206,10 +213,7 @@
 // shortCost is the expected time, in seconds, until the answer to a single request begins.
 func (f Flow) shortCost(m *Member, s summary) float64 {
 	l := &m.Load
-	service := l.service(s).Seconds()
-	expected := (s.perFlow*float64(l.Flows) + l.First) * service
-	fresh := math.Exp2(-float64(m.Age) / float64(reportHalf))
-	pending := float64(l.Pending)*fresh + expected*(1-fresh) + float64(m.Sent)
+	service, pending := l.service(s).Seconds(), m.pending(s)
 	cost := service * (1 + queueWeight*pending/l.slots() + max(0, pending+1-l.slots())/l.slots())
 	if !m.Near {
 		cost += farPart * f.Objective.Seconds()
@@ -217,6 +221,14 @@
 	return cost
 }
 
+// pending is the expected number of requests in progress: what was told last, and the usual number as that gets old.
+func (m *Member) pending(s summary) float64 {
+	l := &m.Load
+	expected := (s.perFlow*float64(l.Flows) + l.First) * l.service(s).Seconds()
+	fresh := math.Exp2(-float64(m.Age) / float64(reportHalf))
+	return float64(l.Pending)*fresh + expected*(1-fresh) + float64(m.Sent)
+}
+
 func (l *Load) service(s summary) time.Duration {
 	service := l.Service
 	if service == 0 {
