--- a/internal/ctrl/ctrl_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -174,3 +174,28 @@
 	b.ReportMetric(size(KindLoad, Load{Record: rec, Utilization: 700, Free: 2, Queued: 1, Flows: 2000}), "load-B")
 	b.ReportMetric(size(KindRumor, Rumor{Records: []view.Record{rec}}), "rumor-B")
 }
+
+// BenchmarkSlopePulse measures the sizes of heartbeats for opaque flows.
+func BenchmarkSlopePulse(b *testing.B) {
+	c := NewCodec(fleet.Secret{})
+	load := &ServerLoad{
+		Ready: true, Pending: 3, Flows: 120, Slots: 4, Service: 26 * time.Millisecond, First: 12_000, Repeated: 60_000, Check: time.Millisecond,
+	}
+	r := view.Record{
+		Packets: netip.MustParseAddrPort("10.0.0.1:7002"), Control: netip.MustParseAddrPort("10.0.0.1:7001"), Role: view.Agent,
+		Service: 1 << 30, Domain: "zone-1", Incarnation: 1 << 56, State: view.Up, Since: time.Unix(1_800_000_000, 0),
+	}
+	size := func(kind Kind, msg any) float64 {
+		out, err := Encode(c, kind, msg)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(out))
+	}
+	for b.Loop() {
+		_ = size(KindPulse, Pulse{Packets: r.Packets, Incarnation: r.Incarnation, Server: load, Version: 70, Age: time.Second})
+	}
+	b.ReportMetric(size(KindState, State{Record: r, Server: load, Version: 70, Age: time.Second}), "B/state")
+	b.ReportMetric(size(KindPulse, Pulse{Packets: r.Packets, Incarnation: r.Incarnation, Server: load, Version: 70, Age: time.Second}), "B/pulse")
+	b.ReportMetric(size(KindPulse, Pulse{Packets: r.Packets, Incarnation: r.Incarnation}), "B/alive")
+}
--- a/tests/opaque_test.go
+++ b/tests/opaque_test.go
@@ -20,6 +20,7 @@
 	slotCheck = local.MostSlots - 21 - iota
 	slotLoad
 	slotCarry
+	slotSlope
 )
 
 // A deployment of the programs for opaque flows serves all requests and keeps all flows while every entry and an agent are
