--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -28,9 +28,6 @@
 	farFactor = 1.15
 	// farPart is the part of the route's objective that a far server must gain to get a single request.
 	farPart = 0.12
-	// firstPart is the utilization that a long flow's server may have more to spare its first request a wait as long as the
-	// objective.
-	firstPart = 0.15
 	// queueWeight is the part of a service time that each request in progress adds below full slots.
 	queueWeight = 0.5
 	// suspectPart is the part of the service time expected by its health check below which a server is suspect: four times
@@ -191,14 +188,15 @@
 	return f.shortCost(m, s)
 }
 
-// longCost is the utilization that the member's server can expect with one more long flow.
+// longCost is the utilization that the member's server can expect with one more long flow, and the wait of the flow's first
+// request: one as long as the objective counts as much as full utilization.
 func (f Flow) longCost(m *Member, s summary) float64 {
 	l := &m.Load
 	demand := s.perFlow*float64(l.Flows+m.Sent+1) + l.First
 	u := demand * l.service(s).Seconds() / l.slots()
 	if f.Objective > 0 {
 		wait := max(0, m.pending(s)+1-l.slots()) / l.slots() * l.service(s).Seconds()
-		u += firstPart * min(1, wait/f.Objective.Seconds())
+		u += min(1, wait/f.Objective.Seconds())
 	}
 	if m.Near {
 		if u < calm {
