--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -170,6 +170,10 @@
 	is.True(m[0].Ready && m[0].Near)
 	is.Equal(m[0].Load.Pending, 3)
 	is.Equal(m[0].Sent, 1)
+	entry := view.Record{Packets: netip.MustParseAddrPort("10.0.0.8:1"), Control: other, Role: view.Entry, Domain: "a", Incarnation: 1, State: view.Up}
+	n.onState(entry.Control, ctrl.State{Record: entry})
+	n.onTick()
+	is.Equal(n.Members(route.Number("desk"))[0].Sent, 2) // The other entry of the failure domain has chosen alike.
 }
 
 // An agent's lease also holds the list of its server's flows, which the process after it needs: a planned stop must not
--- a/internal/memb/member.go
+++ b/internal/memb/member.go
@@ -32,7 +32,7 @@
 			Ready: r.State == view.Up && p.tells && !p.silent && p.load.Ready,
 			Load:  toLoad(&p.load),
 			Age:   now.Sub(p.loaded),
-			Sent:  p.sent,
+			Sent:  p.sent * n.alike, // The others have sent it as many.
 		})
 	}
 	return out
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -108,6 +108,8 @@
 	beaten time.Time
 	// beats counts heartbeats; told is the own record as they told it last.
 	beats int
+	// alike is the number of entries in the own failure domain.
+	alike int
 	told  view.Record
 	news  chan struct{}
 	read  chan struct{}
@@ -136,7 +138,7 @@
 func New(opts Options) *Node {
 	now := time.Now()
 	n := &Node{
-		opts: opts, self: opts.Self, seeds: opts.Seeds, view: view.New(), peers: make(map[netip.AddrPort]*peer), clock: fresh.New(opts.Bound),
+		opts: opts, self: opts.Self, seeds: opts.Seeds, view: view.New(), alike: 1, peers: make(map[netip.AddrPort]*peer), clock: fresh.New(opts.Bound),
 		ticked: now, started: now, news: make(chan struct{}, 1), read: make(chan struct{}, 1),
 	}
 	n.view.Merge(opts.Self, now)
@@ -197,6 +199,7 @@
 		}
 	}
 	n.noteSilence(now)
+	n.countAlike()
 	interval := entryBeat
 	if n.opts.Load != nil {
 		interval = agentBeat
@@ -229,6 +232,17 @@
 	n.sendRound(r)
 }
 
+// countAlike counts the entries of the own failure domain: they know the same, and choose alike.
+func (n *Node) countAlike() {
+	n.alike = 1
+	for a, p := range n.peers {
+		r, ok := n.view.Get(a)
+		if ok && r.Role == view.Entry && r.Domain == n.self.Domain && r.State == view.Up && !p.silent {
+			n.alike++
+		}
+	}
+}
+
 func (n *Node) noteSilence(now time.Time) {
 	for a, p := range n.peers {
 		if !p.silent && now.Sub(p.heard) > silentAfter {
--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -50,7 +50,7 @@
 	Load  Load
 	// Age is how old the load is.
 	Age time.Duration
-	// Sent is how many new flows were sent to the agent since its load was told.
+	// Sent is how many new flows entries that know the same have sent to the agent since its load was told.
 	Sent int
 }
 
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -110,7 +110,7 @@
 
 // crowd plays single requests against servers of unequal speed at 85% utilization, with reports every 200 ms from all
 // of them, and returns the mean time in the system.
-func crowd(choose func(rnd *rand.Rand, members []Member) int) time.Duration {
+func crowd(entries, alike int, choose func(rnd *rand.Rand, members []Member) int) time.Duration {
 	const servers, requests, slots = 12, 40_000, 2
 	rnd := rand.New(rand.NewPCG(3, 4))
 	means := make([]time.Duration, servers)
@@ -123,11 +123,15 @@
 		capacity += slots / means[i].Seconds()
 	}
 	free := make([]times, servers)
-	members := make([]Member, servers)
-	for i := range members {
-		members[i] = ready(i, Load{Slots: slots, Service: means[i]})
+	for i := range free {
 		free[i] = make(times, slots)
 	}
+	known := make([][]Member, entries)
+	for e := range known {
+		for i := range servers {
+			known[e] = append(known[e], ready(i, Load{Slots: slots, Service: means[i]}))
+		}
+	}
 	var pending []finish
 	now, reported, total := time.Duration(0), time.Duration(0), time.Duration(0)
 	count := make([]int, servers)
@@ -144,16 +148,19 @@
 		pending = kept
 		if now-reported > 200*time.Millisecond {
 			reported = now
-			for i := range members {
-				members[i].Load.Pending, members[i].Sent = count[i], 0
-				members[i].Load.First = 0.85 * slots / means[i].Seconds()
+			for _, members := range known {
+				for i := range members {
+					members[i].Load.Pending, members[i].Sent = count[i], 0
+					members[i].Load.First = 0.85 * slots / means[i].Seconds()
+				}
 			}
 		}
+		members := known[rnd.IntN(entries)]
 		for i := range members {
 			members[i].Age = now - reported
 		}
 		i := choose(rnd, members)
-		members[i].Sent++
+		members[i].Sent += alike
 		start := max(now, heap.Pop(&free[i]).(time.Duration))
 		end := start + time.Duration(rnd.ExpFloat64()*float64(means[i]))
 		heap.Push(&free[i], end)
@@ -186,11 +193,11 @@
 // single requests sooner.
 func TestCrowdIsServedSooner(t *testing.T) {
 	is := is.New(t)
-	chosen := crowd(func(rnd *rand.Rand, members []Member) int {
+	chosen := crowd(1, 1, func(rnd *rand.Rand, members []Member) int {
 		return Choose(Flow{Hash: rnd.Uint64(), Objective: 200 * time.Millisecond}, members).First
 	})
-	hash := crowd(func(rnd *rand.Rand, members []Member) int { return rnd.IntN(len(members)) })
-	least := crowd(func(rnd *rand.Rand, members []Member) int {
+	hash := crowd(1, 1, func(rnd *rand.Rand, members []Member) int { return rnd.IntN(len(members)) })
+	least := crowd(1, 1, func(rnd *rand.Rand, members []Member) int {
 		found, offset := 0, rnd.IntN(len(members))
 		for j := range members {
 			i := (j + offset) % len(members)
@@ -205,6 +212,19 @@
 	is.True(chosen < hash/2)
 }
 
+// Entries that know the same choose alike: each must take it that the others send as much as itself, or all of them
+// crowd the server that was told to be the least loaded.
+func TestEntriesThatChooseAlikeDontCrowd(t *testing.T) {
+	is := is.New(t)
+	const entries = 8
+	choose := func(rnd *rand.Rand, members []Member) int {
+		return Choose(Flow{Hash: rnd.Uint64(), Objective: 200 * time.Millisecond}, members).First
+	}
+	counted, alone := crowd(entries, entries, choose), crowd(entries, 1, choose)
+	t.Logf("mean time: others counted %s, own flows only %s", counted, alone)
+	is.True(counted < alone)
+}
+
 // A logged choice can be made again from what was logged.
 func TestTraceMakesTheChoiceAgain(t *testing.T) {
 	is := is.New(t)
