--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -110,7 +110,7 @@
 
 // crowd plays single requests against servers of unequal speed at 85% utilization, with reports every 200 ms from all
 // of them, and returns the mean time in the system.
-func crowd(entries, alike int, choose func(rnd *rand.Rand, members []Member) int) time.Duration {
+func crowd(entries, alike int, choose func(rnd *rand.Rand, members []Member, waits []time.Duration) int) time.Duration {
 	const servers, requests, slots = 12, 40_000, 2
 	rnd := rand.New(rand.NewPCG(3, 4))
 	means := make([]time.Duration, servers)
@@ -159,7 +159,11 @@
 		for i := range members {
 			members[i].Age = now - reported
 		}
-		i := choose(rnd, members)
+		waits := make([]time.Duration, servers)
+		for i := range waits {
+			waits[i] = max(0, free[i][0]-now)
+		}
+		i := choose(rnd, members, waits)
 		members[i].Sent += alike
 		start := max(now, heap.Pop(&free[i]).(time.Duration))
 		end := start + time.Duration(rnd.ExpFloat64()*float64(means[i]))
@@ -193,11 +197,11 @@
 // single requests sooner.
 func TestCrowdIsServedSooner(t *testing.T) {
 	is := is.New(t)
-	chosen := crowd(1, 1, func(rnd *rand.Rand, members []Member) int {
+	chosen := crowd(1, 1, func(rnd *rand.Rand, members []Member, _ []time.Duration) int {
 		return Choose(Flow{Hash: rnd.Uint64(), Objective: 200 * time.Millisecond}, members).First
 	})
-	hash := crowd(1, 1, func(rnd *rand.Rand, members []Member) int { return rnd.IntN(len(members)) })
-	least := crowd(1, 1, func(rnd *rand.Rand, members []Member) int {
+	hash := crowd(1, 1, func(rnd *rand.Rand, members []Member, _ []time.Duration) int { return rnd.IntN(len(members)) })
+	least := crowd(1, 1, func(rnd *rand.Rand, members []Member, _ []time.Duration) int {
 		found, offset := 0, rnd.IntN(len(members))
 		for j := range members {
 			i := (j + offset) % len(members)
@@ -207,7 +211,18 @@
 		}
 		return found
 	})
-	t.Logf("mean time: chosen %s, least told %s, hash %s", chosen, least, hash)
+	// With each server's true wait known, the choice is that of one queue before all slots.
+	pooled := crowd(1, 1, func(_ *rand.Rand, members []Member, waits []time.Duration) int {
+		found := 0
+		for i := range members {
+			if waits[i]+members[i].Load.Service < waits[found]+members[found].Load.Service {
+				found = i
+			}
+		}
+		return found
+	})
+	t.Logf("mean time: chosen %s, least told %s, hash %s, pooled %s", chosen, least, hash, pooled)
+	is.True(pooled < chosen)
 	is.True(chosen < least)
 	is.True(chosen < hash/2)
 }
@@ -217,7 +232,7 @@
 func TestEntriesThatChooseAlikeDontCrowd(t *testing.T) {
 	is := is.New(t)
 	const entries = 8
-	choose := func(rnd *rand.Rand, members []Member) int {
+	choose := func(rnd *rand.Rand, members []Member, _ []time.Duration) int {
 		return Choose(Flow{Hash: rnd.Uint64(), Objective: 200 * time.Millisecond}, members).First
 	}
 	counted, alone := crowd(entries, entries, choose), crowd(entries, 1, choose)
