local: Close also closes the store's listener

Cause: an HTTP server that is closed before it has begun to serve leaves its listener open for a moment.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -94,6 +94,7 @@
 	addresses map[string]netip.AddrPort
 	// beside holds the number of each agent's service and of its server within the service.
 	beside map[*Process]place
+	ln     net.Listener
 	http   *http.Server
 
 	mu sync.Mutex
@@ -146,6 +147,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
 	}
+	d.ln = ln
 	d.http = &http.Server{Handler: d.Store, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.http.Serve(ln) }() // It ends when the deployment is closed.
 	for i, s := range opts.Services {
@@ -335,5 +337,6 @@
 	for _, px := range d.Proxies {
 		px.close()
 	}
+	_ = d.ln.Close() // The HTTP server closes it only once it has begun to serve.
 	_ = d.http.Close()
 }
