--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -89,18 +89,22 @@
 	return nil
 }
 
-// workplace returns the program's file, and a new directory for the settings and logs of its processes.
-func workplace(name string) (binary, dir string, err error) {
+// workplace returns the program's file, and a directory for the settings and logs of its processes: the given one, or a new
+// one when that is empty.
+func workplace(name, given string) (binary, dir string, err error) {
 	if binary, err = os.Executable(); err != nil {
 		return "", "", errors.Wrap(err, "find the program")
 	}
+	if given != "" {
+		return binary, given, nil
+	}
 	dir, err = os.MkdirTemp("", "bergamotrun-"+name+"-")
 	return binary, dir, errors.Wrap(err, "directory for settings and logs")
 }
 
 // devOpaque runs the programs for opaque flows on this machine, for a check or until ctx ends.
 func (i *invocation) devOpaque(ctx context.Context, check bool, slot int) error {
-	binary, dir, err := workplace("dev")
+	binary, dir, err := workplace("dev", "")
 	if err != nil {
 		return err
 	}
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -41,9 +41,6 @@
 		return errors.Wrap(err, "-log")
 	}
 	opts := load.Options{Policy: *policy, Log: log, Progress: progress(inv), Slot: *slot}
-	if opts.Binary, opts.Dir, err = workplace("load"); err != nil {
-		return err
-	}
 	if *suite != "" {
 		return runSuite(ctx, inv, *suite, *seed, opts)
 	}
@@ -55,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	result, err := load.Run(ctx, s, opts)
+	result, err := runScenario(ctx, s, opts)
 	if err != nil {
 		return err
 	}
@@ -67,6 +64,17 @@
 	return result.WriteText(inv.stdout)
 }
 
+// runScenario runs a scenario, with a directory for the processes of one with opaque flows.
+func runScenario(ctx context.Context, s *load.Scenario, opts load.Options) (*load.Result, error) {
+	if s.Opaque {
+		var err error
+		if opts.Binary, opts.Dir, err = workplace("load", ""); err != nil {
+			return nil, err
+		}
+	}
+	return load.Run(ctx, s, opts)
+}
+
 func readScenario(file string, seed uint64) (*load.Scenario, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
@@ -111,7 +119,7 @@
 		}
 		for _, policy := range append([]string{load.Own}, s.Against...) {
 			opts.Policy = policy
-			result, err := load.Run(ctx, s, opts)
+			result, err := runScenario(ctx, s, opts)
 			if err != nil {
 				return errors.Wrapf(err, "%s, policy %s", file, policy)
 			}
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/internal/soak"
 )
 
@@ -38,16 +37,10 @@
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
-	if *slot < 0 || *slot >= local.MostSlots {
-		return errors.Errorf("-slot %d: must be 0 to %d", *slot, local.MostSlots-1)
-	}
-	binary, base, err := workplace("soak")
+	binary, base, err := workplace("soak", *dir)
 	if err != nil {
 		return err
 	}
-	if *dir != "" {
-		base = *dir
-	}
 	failed := 0
 	for i := range *runs {
 		opts := soak.Options{
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 	"github.com/bergamotrun/bergamotrun/internal/server"
@@ -59,29 +60,17 @@
 	server, entry, peer, caller *net.UDPConn
 }
 
-func listen(t *testing.T, addr string) *net.UDPConn {
-	t.Helper()
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(addr)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() })
-	return c
-}
-
-func addr(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
-
 func newWorld(t *testing.T, first bool) *world {
 	w := &world{I: is.New(t), format: &plain{heads: make(map[byte]flow.Head)}, shelf: new(shelf)}
 	w.table = &members{table: route.New(5, []route.Route{{
 		Name: "r", Address: service, Targets: []route.Target{{Service: "desk", Weight: 1}}, Objective: time.Second, Timeout: 3 * time.Second,
 	}}, 10*time.Second)}
-	w.server, w.entry, w.peer = listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
-	hops, clients := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
-	w.caller = listen(t, netip.AddrPortFrom(client.Addr(), addr(clients).Port()).String())
+	w.server, w.entry, w.peer = ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
+	hops, clients := ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
+	w.caller = ptest.Listen(t, netip.AddrPortFrom(client.Addr(), ptest.Addr(clients).Port()).String())
 	w.agent = New(Options{
-		Hops: hops, Outbound: listen(t, "127.0.0.1:0"), Clients: clients, Server: addr(w.server), Service: "desk",
-		Interval: time.Second, FirstStart: first, Self: addr(hops), Format: w.format, Members: w.table, Shelf: w.shelf,
+		Hops: hops, Outbound: ptest.Listen(t, "127.0.0.1:0"), Clients: clients, Server: ptest.Addr(w.server), Service: "desk",
+		Interval: time.Second, FirstStart: first, Self: ptest.Addr(hops), Format: w.format, Members: w.table, Shelf: w.shelf,
 		Log: zap.NewNop(), Flows: zap.NewNop(), Vars: new(expvar.Map),
 	})
 	return w
@@ -89,7 +78,7 @@
 
 func (w *world) announce(change func(*server.Announcement)) {
 	w.Helper()
-	an := server.Announcement{ID: "i-1", Service: "desk", Address: addr(w.server), Slots: 1, Sequence: 7, Born: born}
+	an := server.Announcement{ID: "i-1", Service: "desk", Address: ptest.Addr(w.server), Slots: 1, Sequence: 7, Born: born}
 	if change != nil {
 		change(&an)
 	}
@@ -100,14 +89,14 @@
 func (w *world) from(head hop.Head, id byte, h flow.Head) {
 	h.Src, h.Dst = client, service
 	w.format.heads[id] = h
-	head.Entry, head.Second = addr(w.entry), addr(w.peer)
+	head.Entry, head.Second = ptest.Addr(w.entry), ptest.Addr(w.peer)
 	if head.Service == 0 {
 		head.Service = route.Number("desk")
 	}
 	b := make([]byte, 2*hop.Size+1, 2*hop.Size+hop.MaxPacket)
 	head.Put(b[hop.Size:])
 	b[2*hop.Size] = id
-	w.agent.fromHop(addr(w.entry), b)
+	w.agent.fromHop(ptest.Addr(w.entry), b)
 }
 
 // back gives the agent a packet of the server.
@@ -120,7 +109,7 @@
 	w.format.heads[id] = h
 	b := make([]byte, hop.Size+1, hop.Size+hop.MaxPacket)
 	b[hop.Size] = id
-	w.agent.fromServer(addr(w.server), b)
+	w.agent.fromServer(ptest.Addr(w.server), b)
 }
 
 // next returns what a socket gets, or nil when it gets nothing soon.
@@ -305,7 +294,7 @@
 	w.announce(nil)
 	w.open()
 	w.agent.mu.Lock()
-	w.agent.list(addr(w.entry), hop.Part{Question: 9}.Append(nil), time.Now())
+	w.agent.list(ptest.Addr(w.entry), hop.Part{Question: 9}.Append(nil), time.Now())
 	w.agent.mu.Unlock()
 	head, body, err := hop.Parse(w.next(w.entry))
 	w.NoErr(err)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -92,7 +92,7 @@
 
 	opts      Options
 	addresses map[string]netip.AddrPort
-	// beside holds the number of each agent's service and of its server within the service.
+	// beside holds what is beside each agent.
 	beside map[*Process]place
 	ln     net.Listener
 	http   *http.Server
@@ -111,8 +111,11 @@
 	clients []*fakes.Client
 }
 
-// place says which server of which service is beside an agent.
-type place struct{ service, server int }
+// place says which server of which service is beside an agent, and in which failure domain.
+type place struct {
+	service, server int
+	domain          string
+}
 
 // groups is how many groups of addresses a deployment has, and MostSlots how many deployments fit beside each other.
 const (
@@ -184,7 +187,7 @@
 			if err != nil {
 				return err
 			}
-			d.beside[p] = place{n, k}
+			d.beside[p] = place{n, k, domain(len(d.Agents))}
 			d.Agents = append(d.Agents, p)
 		}
 	}
@@ -264,7 +267,7 @@
 		slowness = service.Slowness[at.server%n]
 	}
 	s, err := fakes.StartServer(fakes.ServerOptions{
-		ID: id, Service: service.Name, Domain: d.domainOf(p),
+		ID: id, Service: service.Name, Domain: at.domain,
 		App: netip.AddrPortFrom(p.IP, portServer), Outbound: netip.AddrPortFrom(p.IP, portOutbound),
 		Control: netip.AddrPortFrom(p.IP, portAnnounce), Slots: service.Slots, Queue: service.Queue, Interval: heartbeat,
 		Work:  func(request string) time.Duration { return time.Duration(slowness * float64(d.opts.Work(request))) },
@@ -279,16 +282,6 @@
 	return nil
 }
 
-// domainOf returns the failure domain of an agent's server.
-func (d *Deployment) domainOf(p *Process) string {
-	for i := range d.Agents {
-		if d.Agents[i] == p {
-			return domain(i)
-		}
-	}
-	return ""
-}
-
 // Server returns the server beside an agent.
 func (d *Deployment) Server(p *Process) *fakes.Server {
 	d.mu.Lock()
--- a/internal/memb/beat.go
+++ b/internal/memb/beat.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
 // round is a round of heartbeats: the whole state for those that may not know the record, a pulse for the others, and
@@ -28,7 +29,7 @@
 	for a, p := range n.peers {
 		record, ok := n.view.Get(a)
 		far := record.Domain != n.self.Domain
-		if !ok || !n.tells(&record) || (near && far) {
+		if !ok || record.State == view.Gone || !n.cares(record) || (near && far) {
 			continue
 		}
 		to := n.listFor(&r, far)
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -269,11 +269,6 @@
 	n.sendRound(r)
 }
 
-// tells reports whether the process of a record is told this one's state: agents don't need each other.
-func (n *Node) tells(r *view.Record) bool {
-	return r.State != view.Gone && (n.opts.Load == nil || r.Role == view.Entry)
-}
-
 // onState takes another process's heartbeat over.
 func (n *Node) onState(from netip.AddrPort, s ctrl.State) {
 	now := time.Now()
--- a/internal/ptest/ptest.go
+++ b/internal/ptest/ptest.go
@@ -1,4 +1,4 @@
-// Package ptest makes property tests the same in every run.
+// Package ptest helps tests: it makes property tests the same in every run, and opens sockets.
 package ptest
 
 import (
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/hop"
 	"github.com/bergamotrun/bergamotrun/internal/pick"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 )
@@ -67,35 +68,23 @@
 	caller   *net.UDPConn
 }
 
-func listen(t *testing.T, addr string) *net.UDPConn {
-	t.Helper()
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort(addr)))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = c.Close() })
-	return c
-}
-
-func addr(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
-
 func newWorld(t *testing.T) *world {
 	w := &world{I: is.New(t), format: &plain{heads: make(map[byte]flow.Head)}}
-	w.one, w.two = listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
-	clients, hops := listen(t, "127.0.0.1:0"), listen(t, "127.0.0.1:0")
-	w.caller = listen(t, netip.AddrPortFrom(client.Addr(), addr(clients).Port()).String())
+	w.one, w.two = ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
+	clients, hops := ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
+	w.caller = ptest.Listen(t, netip.AddrPortFrom(client.Addr(), ptest.Addr(clients).Port()).String())
 	w.members = &members{
 		table: route.New(5, []route.Route{{Name: "r", Address: service, Targets: []route.Target{{Service: "desk", Weight: 1}}}}, time.Second),
 		members: []pick.Member{
-			{Agent: addr(w.one), Near: true, Ready: true, Load: pick.Load{Slots: 4}},
-			{Agent: addr(w.two), Near: true, Ready: true, Load: pick.Load{Slots: 4, Flows: 50, Pending: 9}},
+			{Agent: ptest.Addr(w.one), Near: true, Ready: true, Load: pick.Load{Slots: 4}},
+			{Agent: ptest.Addr(w.two), Near: true, Ready: true, Load: pick.Load{Slots: 4, Flows: 50, Pending: 9}},
 		},
-		holders: []seek.Candidate{{Agent: addr(w.one)}, {Agent: addr(w.two)}},
-		all:     []seek.Candidate{{Agent: addr(w.one)}, {Agent: addr(w.two)}},
+		holders: []seek.Candidate{{Agent: ptest.Addr(w.one)}, {Agent: ptest.Addr(w.two)}},
+		all:     []seek.Candidate{{Agent: ptest.Addr(w.one)}, {Agent: ptest.Addr(w.two)}},
 		dead:    make(map[netip.AddrPort]bool),
 	}
 	w.relay = New(Options{
-		Clients: clients, Hops: hops, Self: addr(hops), Format: w.format, Members: w.members,
+		Clients: clients, Hops: hops, Self: ptest.Addr(hops), Format: w.format, Members: w.members,
 		Log: zap.NewNop(), Flows: zap.NewNop(), Vars: new(expvar.Map),
 	})
 	return w
@@ -113,7 +102,7 @@
 // says gives the entry an agent's word of the flow.
 func (w *world) says(from *net.UDPConn, head hop.Head, keys ...flow.Key) {
 	part := hop.Part{Total: 1}
-	if l := w.relay.lists[addr(from)]; l != nil {
+	if l := w.relay.lists[ptest.Addr(from)]; l != nil {
 		part.Question = l.question
 	}
 	w.part(from, head, part, keys...)
@@ -129,7 +118,7 @@
 	for _, k := range keys {
 		b = k.Append(b)
 	}
-	w.relay.fromHop(addr(from), b)
+	w.relay.fromHop(ptest.Addr(from), b)
 }
 
 // next returns what a socket gets, or no kind when it gets nothing soon.
@@ -248,14 +237,14 @@
 	defer w.relay.mu.Unlock()
 	s := w.relay.searches[later]
 	w.True(s != nil)
-	w.True(s.Missing(addr(w.one)))
+	w.True(s.Missing(ptest.Addr(w.one)))
 }
 
 // A flow that was only offered is never lost while its agent says so.
 func TestOfferedFlowIsNotReset(t *testing.T) {
 	w := newWorld(t)
 	w.packet(1, ack)
-	q := w.relay.lists[addr(w.one)].question
+	q := w.relay.lists[ptest.Addr(w.one)].question
 	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Opening}, hop.Part{Question: q, Total: 2}, key)
 	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, hop.Part{Question: q, Index: 1, Total: 2})
 	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
@@ -307,7 +296,7 @@
 	head := hop.Head{Kind: hop.Return}
 	head.Put(b)
 	b[hop.Size] = 2
-	w.relay.fromHop(addr(w.one), b)
+	w.relay.fromHop(ptest.Addr(w.one), b)
 	w.Equal(w.kind(w.two), hop.List)
 	w.says(w.two, hop.Head{Kind: hop.Answer, Verdict: seek.Held}, key)
 	w.Equal(w.kind(w.two), hop.Carry)
@@ -318,7 +307,7 @@
 func TestListOfAnotherServiceStaysTrue(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), complete: true, whole: true, version: 5, keys: map[flow.Key]struct{}{}}
+	w.relay.lists[ptest.Addr(w.two)] = &listing{asked: time.Now(), complete: true, whole: true, version: 5, keys: map[flow.Key]struct{}{}}
 	w.packet(1, ack)
 	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.Kind(0))
@@ -340,7 +329,7 @@
 func TestListOfAnotherServiceNamesTheFlow(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), keys: map[flow.Key]struct{}{}}
+	w.relay.lists[ptest.Addr(w.two)] = &listing{asked: time.Now(), keys: map[flow.Key]struct{}{}}
 	w.packet(1, ack)
 	w.says(w.two, hop.Head{Kind: hop.Listed, Version: 5, Hops: hop.Whole, Verdict: seek.Held}, key)
 	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
@@ -352,7 +341,7 @@
 func TestListedFlowIsAskedForAgain(t *testing.T) {
 	w := newWorld(t)
 	w.members.holders = w.members.holders[:1]
-	w.relay.lists[addr(w.two)] = &listing{asked: time.Now(), complete: true, whole: true, version: 5, keys: map[flow.Key]struct{}{key: {}}}
+	w.relay.lists[ptest.Addr(w.two)] = &listing{asked: time.Now(), complete: true, whole: true, version: 5, keys: map[flow.Key]struct{}{key: {}}}
 	w.packet(1, ack)
 	w.says(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
 	w.Equal(w.kind(w.two), hop.Ask)
@@ -364,9 +353,9 @@
 	w := newWorld(t)
 	w.packet(1, ack)
 	w.says(w.two, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held})
-	q := w.relay.lists[addr(w.one)].question
+	q := w.relay.lists[ptest.Addr(w.one)].question
 	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, hop.Part{Question: q, Index: 1, Total: 2})
 	w.part(w.one, hop.Head{Kind: hop.Listed, Hops: hop.Whole, Verdict: seek.Held}, hop.Part{Question: q - 1, Total: 1})
-	w.True(w.relay.searches[key].Missing(addr(w.one)))
+	w.True(w.relay.searches[key].Missing(ptest.Addr(w.one)))
 	w.True(!w.isReset())
 }
