--- a/tests/help_test.go
+++ b/tests/help_test.go
@@ -11,9 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/bergamotrun/bergamotrun/internal/kvfake"
 	"github.com/bergamotrun/bergamotrun/internal/sample"
 	"github.com/bergamotrun/bergamotrun/pkg/caller"
+	"github.com/bergamotrun/bergamotrun/pkg/contr"
 )
 
 var (
@@ -35,6 +38,47 @@
 	return ctx, c, c.addService("desk", nil), newLedger()
 }
 
+// handOver is a service whose home target hands all requests over to its peer.
+type handOver struct {
+	ctx        context.Context
+	desk       *service
+	l          *ledger
+	home, peer *target
+	// cl is a caller whose flow, opened by a first request, is home's.
+	cl *caller.Client
+}
+
+// startHandOver starts a service with two targets, the first of which drains after a caller's first request.
+func startHandOver(t *testing.T, first order) *handOver {
+	t.Helper()
+	ctx, _, desk, l := startDesk(t, 2)
+	h := &handOver{ctx: ctx, desk: desk, l: l, home: desk.addTarget(), cl: desk.caller(1)}
+	is.New(t).NoErr(l.send(ctx, desk, h.cl, first))
+	h.peer = desk.addTarget()
+	desk.awaitMember(h.peer, "up", forceLimit)
+	h.home.server.Inject(drainingServer)
+	desk.awaitMember(h.home, "draining", leaveLimit)
+	return h
+}
+
+// warm waits until a request of an ID is handed over.
+func (h *handOver) warm(t *testing.T, id string) {
+	t.Helper()
+	await(t, forceLimit, "home hands requests over", func() bool {
+		code, _ := h.l.once(h.ctx, h.desk, h.cl, order{http.MethodGet, "/work/a?ms=1", id, ""})
+		return code == http.StatusOK
+	})
+}
+
+// changeEverywhere changes the contract of desk at an entry, and waits until the change is in force at all instances.
+func (c *cluster) changeEverywhere(e *proc, serial uint64, id string, contract *contr.Contract, instances int) {
+	c.t.Helper()
+	code, answer := c.api(e, http.MethodPut, "/v1/contracts/desk", serial, change1(id, contract))
+	is.New(c.t).Equal(code, http.StatusOK)
+	applied := appliedSerial(c.t, answer)
+	await(c.t, forceLimit, "the change is in force everywhere", func() bool { return c.inForce("desk", applied, instances) })
+}
+
 // freePort returns a UDP port that was free on all addresses.
 func freePort(t *testing.T) uint16 {
 	t.Helper()
