--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -99,7 +99,7 @@
 	for key, s := range r.searches {
 		// A flow whose packet arrived after the request may have been opened after the reply was sent.
 		if s.Awaits(agent) && !s.startedAt.After(list.requestedAt) {
-			s.RecordVerdict(agent, unlistedVerdict)
+			s.RecordVerdict(agent, unlistedVerdict, seek.List)
 			r.advance(key, s, now)
 		}
 	}
@@ -110,7 +110,7 @@
 func (r *Relay) handleListedFlow(agent netip.AddrPort, key flow.Key, header encap.Header, now time.Time) {
 	s := r.searches[key]
 	if s != nil {
-		s.RecordVerdict(agent, header.Verdict)
+		s.RecordVerdict(agent, header.Verdict, seek.List)
 	}
 	if header.Verdict != seek.Held {
 		return
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -109,7 +109,8 @@
 		r.handleFound(key, s, step.Agents[0], now)
 	case seek.Probe:
 		r.counters.Add("tried", int64(len(step.Agents)))
-		r.opts.FlowLog.Info("probing servers that may hold the flow", zap.Stringer("flow", key), zap.Int("servers", len(step.Agents)))
+		r.opts.FlowLog.Info("probing servers that may hold the flow", zap.Stringer("flow", key), zap.Int("servers", len(step.Agents)),
+			zap.Duration("after", now.Sub(s.startedAt)), zap.String("answers", s.Trace()))
 		for _, agent := range step.Agents {
 			r.send(encap.Header{Kind: encap.Probe, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, s.packets[0], agent)
 		}
@@ -139,7 +140,7 @@
 	for _, agent := range s.Unanswered() {
 		// With this configuration version the agent can't have opened a flow of the route since, so its list is still valid.
 		if list := r.lists[agent]; list != nil && list.denies(key, version) {
-			s.RecordVerdict(agent, seek.Denied)
+			s.RecordVerdict(agent, seek.Denied, seek.EarlierList)
 		}
 	}
 	r.queryUnanswered(key, s, now)
@@ -189,6 +190,7 @@
 		zap.Duration("took", now.Sub(s.startedAt)), zap.Bool("fin", s.packetHeader.Fin), zap.Int("len", s.packetHeader.Len), zap.String("answers", s.Trace()))
 	r.counters.Add("lost", 1)
 	if mayReset && !s.packetHeader.Rst {
+		r.counters.Add("reset_lost", 1)
 		r.reset(s.packetHeader)
 	}
 	r.flows.Delete(key)
@@ -234,7 +236,7 @@
 	if !ok || s == nil {
 		return
 	}
-	s.RecordVerdict(agent, verdict)
+	s.RecordVerdict(agent, verdict, seek.Reply)
 	r.advance(key, s, now)
 }
 
@@ -245,7 +247,7 @@
 		return
 	}
 	if s := r.searches[key]; s != nil {
-		s.RecordVerdict(agent, seek.Held)
+		s.RecordVerdict(agent, seek.Held, seek.Claimed)
 		r.advance(key, s, now)
 	}
 	if f := r.flows.Get(key, now); f != nil {
@@ -267,7 +269,7 @@
 		r.flows.Delete(key)
 	}
 	if s := r.searches[key]; s != nil {
-		s.RecordVerdict(agent, seek.Denied)
+		s.RecordVerdict(agent, seek.Denied, seek.Returned)
 		r.advance(key, s, now)
 		return
 	}
@@ -277,6 +279,6 @@
 	}
 	r.findHolder(key, h, rt, b, now)
 	if s := r.searches[key]; s != nil {
-		s.RecordVerdict(agent, seek.Denied)
+		s.RecordVerdict(agent, seek.Denied, seek.Returned)
 	}
 }
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -40,6 +40,23 @@
 	Held
 )
 
+// Source is how an agent's verdict became known. Zero means that there is no verdict.
+type Source uint8
+
+// The sources of verdicts.
+const (
+	// Reply means that the agent replied to a query for the flow.
+	Reply Source = iota + 1
+	// List means that the agent sent a list of its server's flows.
+	List
+	// EarlierList means that the list was requested for another flow, before the search began.
+	EarlierList
+	// Returned means that the agent returned a packet of the flow.
+	Returned
+	// Claimed means that the agent claimed the flow without a query.
+	Claimed
+)
+
 // Action is what the entry must do with the flow's packets.
 type Action uint8
 
@@ -66,6 +83,7 @@
 type candidate struct {
 	agent    netip.AddrPort
 	verdict  Verdict
+	source   Source
 	probedAt time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
@@ -134,16 +152,17 @@
 // Retry restarts the reply timeout and keeps the verdicts.
 func (s *Search) Retry(now time.Time) { s.queriedAt = now }
 
-// RecordVerdict records an agent's verdict. An agent that isn't a candidate becomes one only by Held or Opening.
-func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict) {
+// RecordVerdict records an agent's verdict and its source. An agent that isn't a candidate becomes one only by Held or
+// Opening.
+func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) {
 	for i := range s.candidates {
 		if s.candidates[i].agent == agent {
-			s.candidates[i].verdict = verdict
+			s.candidates[i].verdict, s.candidates[i].source = verdict, source
 			return
 		}
 	}
 	if verdict == Held || verdict == Opening {
-		s.candidates = append(s.candidates, candidate{agent: agent, verdict: verdict})
+		s.candidates = append(s.candidates, candidate{agent: agent, verdict: verdict, source: source})
 	}
 }
 
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -30,7 +30,7 @@
 	is := is.New(t)
 	s := newSearch(agentA, agentB)
 	is.Equal(s.Next(at(0)).Action, Wait)
-	s.RecordVerdict(agentB, Held)
+	s.RecordVerdict(agentB, Held, Reply)
 	is.Equal(s.Next(at(0)), Step{Action: Forward, Agents: []netip.AddrPort{agentB}})
 }
 
@@ -38,17 +38,17 @@
 func TestFlowIsNotLostWhileReplyIsMissing(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA, agentB, agentC)
-	s.RecordVerdict(agentA, Denied)
-	s.RecordVerdict(agentB, Denied)
+	s.RecordVerdict(agentA, Denied, Reply)
+	s.RecordVerdict(agentB, Denied, Reply)
 	is.Equal(s.Next(at(time.Second)).Action, Drop)
-	s.RecordVerdict(agentC, Denied)
+	s.RecordVerdict(agentC, Denied, Reply)
 	is.Equal(s.Next(at(time.Second)).Action, Lost)
 }
 
 func TestSilentAgentIsNotAwaited(t *testing.T) {
 	is := is.New(t)
 	s := New([]Candidate{{Agent: agentA}, {Agent: agentB, Dead: true}}, start)
-	s.RecordVerdict(agentA, Denied)
+	s.RecordVerdict(agentA, Denied, Reply)
 	is.Equal(s.Next(at(0)).Action, Lost)
 }
 
@@ -56,12 +56,12 @@
 func TestExtendFindsAHolderOfAnotherService(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA)
-	s.RecordVerdict(agentA, Denied)
+	s.RecordVerdict(agentA, Denied, Reply)
 	is.Equal(s.Next(at(0)).Action, Lost)
 	s.Extend([]Candidate{{Agent: agentA}, {Agent: agentB}}, at(0))
 	is.Equal(s.Unanswered(), []netip.AddrPort{agentB})
 	is.Equal(s.Next(at(0)).Action, Wait)
-	s.RecordVerdict(agentB, Held)
+	s.RecordVerdict(agentB, Held, Reply)
 	is.Equal(s.Next(at(0)).Agents, []netip.AddrPort{agentB})
 }
 
@@ -70,14 +70,14 @@
 	is := is.New(t)
 	s := newSearch(agentA, agentB, agentC)
 	for _, a := range []netip.AddrPort{agentA, agentB, agentC} {
-		s.RecordVerdict(a, Perhaps)
+		s.RecordVerdict(a, Perhaps, Reply)
 	}
 	step := s.Next(at(0))
 	is.Equal(step.Action, Probe)
 	is.Equal(len(step.Agents), 3)
 	is.Equal(s.Next(at(time.Millisecond)).Action, Wait)
-	s.RecordVerdict(agentA, Denied)
-	s.RecordVerdict(agentC, Denied)
+	s.RecordVerdict(agentA, Denied, Reply)
+	s.RecordVerdict(agentC, Denied, Reply)
 	is.Equal(s.Next(at(probeTimeout+time.Millisecond)), Step{Action: Forward, Agents: []netip.AddrPort{agentB}})
 }
 
@@ -86,7 +86,7 @@
 	is := is.New(t)
 	s := newSearch(agentA, agentB, agentC, agentD)
 	for _, a := range []netip.AddrPort{agentA, agentB, agentC} {
-		s.RecordVerdict(a, Perhaps)
+		s.RecordVerdict(a, Perhaps, Reply)
 	}
 	probed := 0
 	for d := replyTimeout; d < 2*time.Second; d += 10 * time.Millisecond {
@@ -96,7 +96,7 @@
 		}
 		probed += len(step.Agents)
 		for _, a := range step.Agents {
-			s.RecordVerdict(a, Denied)
+			s.RecordVerdict(a, Denied, Reply)
 		}
 	}
 	is.Equal(probed, maxBlindProbes)
@@ -105,8 +105,8 @@
 func TestOpeningFlowIsProbedFirst(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA, agentB)
-	s.RecordVerdict(agentA, Perhaps)
-	s.RecordVerdict(agentB, Opening)
+	s.RecordVerdict(agentA, Perhaps, Reply)
+	s.RecordVerdict(agentB, Opening, Reply)
 	is.Equal(s.Next(at(0)), Step{Action: Probe, Agents: []netip.AddrPort{agentB}})
 }
 
@@ -114,9 +114,9 @@
 func TestHolderNeedNotBeCandidate(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA)
-	s.RecordVerdict(agentB, Denied)
+	s.RecordVerdict(agentB, Denied, Reply)
 	is.Equal(s.Unanswered(), []netip.AddrPort{agentA})
-	s.RecordVerdict(agentB, Held)
+	s.RecordVerdict(agentB, Held, Reply)
 	is.Equal(s.Next(at(0)), Step{Action: Forward, Agents: []netip.AddrPort{agentB}})
 }
 
@@ -128,15 +128,16 @@
 			s := New([]Candidate{{Agent: agentA}, {Agent: agentB, Dead: silent}}, start)
 			for i, v := range verdicts {
 				if v != 0 {
-					s.RecordVerdict([]netip.AddrPort{agentA, agentB}[i], v)
+					s.RecordVerdict([]netip.AddrPort{agentA, agentB}[i], v, Source(1+i))
 				}
 			}
 			parsed, err := ParseTrace(s.Trace(), at(replyTimeout))
 			is.NoErr(err)
+			is.Equal(parsed.Trace(), s.Trace())
 			is.Equal(parsed.Next(at(replyTimeout)), s.Next(at(replyTimeout)))
 		}
 	}
-	for _, bad := range []string{"x,denied", "10.0.0.1:1", "10.0.0.1:1,gone"} {
+	for _, bad := range []string{"x,denied", "10.0.0.1:1", "10.0.0.1:1,gone", "10.0.0.1:1,denied,rumor"} {
 		_, err := ParseTrace(bad, start)
 		is.True(err != nil)
 	}
--- a/internal/seek/trace.go
+++ b/internal/seek/trace.go
@@ -11,6 +11,12 @@
 // verdictNames holds the names of verdicts in traces, indexed by Verdict. Traces are parsed, so the names are fixed.
 var verdictNames = [...]string{"unanswered", "denied", "perhaps", "opening", "held"}
 
+// sourceNames holds the names of sources in traces, indexed by Source.
+var sourceNames = [...]string{"", "reply", "list", "earlier_list", "returned", "claimed"}
+
+// silentMark marks dead candidates in traces.
+const silentMark = "silent"
+
 // String returns the verdict's name in traces.
 func (v Verdict) String() string {
 	if int(v) < len(verdictNames) {
@@ -19,7 +25,8 @@
 	return "unknown"
 }
 
-// Trace formats the candidates and their verdicts as text. ParseTrace restores the search from it.
+// Trace formats the candidates with their verdicts, the sources of these and whether they are dead, as text. ParseTrace
+// restores the search from it.
 func (s *Search) Trace() string {
 	var trace strings.Builder
 	for i := range s.candidates {
@@ -30,8 +37,13 @@
 		trace.WriteString(c.agent.String())
 		trace.WriteByte(',')
 		trace.WriteString(c.verdict.String())
+		if c.source != 0 {
+			trace.WriteByte(',')
+			trace.WriteString(sourceNames[c.source])
+		}
 		if c.dead {
-			trace.WriteString(",silent")
+			trace.WriteByte(',')
+			trace.WriteString(silentMark)
 		}
 	}
 	return trace.String()
@@ -50,10 +62,17 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "candidate %q", text)
 		}
-		c := candidate{agent: agent, dead: len(fields) == 3 && fields[2] == "silent"}
+		c := candidate{agent: agent}
 		if len(fields) < 2 || !c.setVerdict(fields[1]) {
 			return nil, errors.Errorf("candidate %q: missing or unknown verdict", text)
 		}
+		for _, field := range fields[2:] {
+			if field == silentMark {
+				c.dead = true
+			} else if !c.setSource(field) {
+				return nil, errors.Errorf("candidate %q: unknown source %q", text, field)
+			}
+		}
 		s.candidates = append(s.candidates, c)
 	}
 	return s, nil
@@ -69,3 +88,14 @@
 	}
 	return false
 }
+
+// setSource sets the verdict's source by its name in traces and reports whether the name is known.
+func (c *candidate) setSource(name string) bool {
+	for source, n := range sourceNames {
+		if source > 0 && n == name {
+			c.source = Source(source)
+			return true
+		}
+	}
+	return false
+}
