A list of flows names those that the server may hold

What callers would see: an open flow is reset though its server holds it. Cause: a restarted agent that doesn't know a flow passes its packet to the server to find out. A server doesn't respond to a bare acknowledgement, so the flow may stay undecided until the flow table counts as complete, which is when all flows that the server holds have had a packet. From then on the agent's list was exhaustive without the flow, while a query for it said perhaps; an entry that asked for the list took the flow for denied and reset it. Evidence: TestListIncludesProbedFlows failed before: the list had one part, for held flows, and was exhaustive (held != perhaps). Change: lists have a third group of parts, for flows that the server may hold, with the verdict perhaps.

--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -322,6 +322,28 @@
 	env.Equal(len(keys), 0)
 }
 
+// Guards against the reset of an open flow: a server doesn't respond to a bare acknowledgement, so a probed flow may stay
+// undecided until after the flow table counts as complete. A list without it would deny it.
+func TestListIncludesProbedFlows(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 1, ack)
+	env.Equal(env.read(env.server), []byte{1})
+	env.agent.mu.Lock()
+	env.agent.tableCompleteAt = time.Now()
+	env.agent.sendFlowList(ptest.Addr(env.entry), encap.ListPart{RequestID: 9}.Append(nil), time.Now())
+	env.agent.mu.Unlock()
+	env.Equal(env.verdict(), seek.Perhaps)
+	header, body, err := encap.Parse(env.read(env.entry))
+	env.NoErr(err)
+	env.Equal(header.Hops, uint8(encap.Exhaustive))
+	env.Equal(header.Verdict, seek.Perhaps)
+	part, keys, err := encap.ParseListPart(body)
+	env.NoErr(err)
+	env.Equal(part, encap.ListPart{RequestID: 9, Index: 0, Total: 2})
+	env.Equal(keys, []flow.Key{flow.NewKey(client, service)})
+}
+
 // A restarted agent must recognize the list that its predecessor saved. The server's start time has a fraction of a second,
 // which must survive the encoding; otherwise the list looks like one of another start.
 func TestRestartedAgentLoadsSavedFlowList(t *testing.T) {
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -51,17 +51,14 @@
 	NextSeqs []uint32 `cbor:"4,keyasint"`
 }
 
-// sendFlowList sends an entry the keys of all open and opening flows, in as many datagrams as needed.
+// sendFlowList sends an entry the keys of all flows that the server holds or may hold, by verdict, in as many datagrams as
+// needed.
 func (a *Agent) sendFlowList(to netip.AddrPort, body []byte, now time.Time) {
 	part, _, err := encap.ParseListPart(body)
 	if err != nil {
 		a.counters.Add("hop_damaged", 1)
 		return
 	}
-	var held, opening []flow.Key
-	if !a.server.IsDead(now) {
-		held, opening = a.flowKeys()
-	}
 	header := encap.Header{Kind: encap.ListReply, Service: route.ServiceID(a.serviceName())}
 	if a.tableComplete(now) {
 		header.Hops = encap.Exhaustive
@@ -69,36 +66,59 @@
 	if t := a.opts.Cluster.Table(); t != nil {
 		header.Version = t.Version
 	}
+	groups := a.flowKeys(now)
 	a.counters.Add("listed", 1)
 	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "flow list sent"); logEntry != nil {
-		logEntry.Write(zap.Stringer("entry", to), zap.Uint64("request", part.RequestID), zap.Int("held", len(held)), zap.Int("opening", len(opening)),
-			zap.Bool("exhaustive", header.Hops == encap.Exhaustive), zap.Uint64("version", header.Version))
+		fields := []zap.Field{zap.Stringer("entry", to), zap.Uint64("request", part.RequestID)}
+		for _, g := range groups {
+			fields = append(fields, zap.Int(g.verdict.String(), len(g.keys)))
+		}
+		logEntry.Write(append(fields, zap.Bool("exhaustive", header.Hops == encap.Exhaustive), zap.Uint64("version", header.Version))...)
 	}
-	parts := max(1, (len(held)+encap.MaxKeysPerReply-1)/encap.MaxKeysPerReply)
-	part.Total = uint16(parts + (len(opening)+encap.MaxKeysPerReply-1)/encap.MaxKeysPerReply)
-	header.Verdict = seek.Opening
-	for ; len(opening) > 0; part.Index++ {
-		opening = a.sendKeys(header, part, opening, to)
+	for _, g := range groups {
+		part.Total += g.parts()
 	}
-	header.Verdict = seek.Held
-	for range parts {
-		held = a.sendKeys(header, part, held, to)
-		part.Index++
+	for _, g := range groups {
+		header.Verdict = g.verdict
+		for range g.parts() {
+			g.keys = a.sendKeys(header, part, g.keys, to)
+			part.Index++
+		}
 	}
 }
 
-// flowKeys returns the keys of the open flows and of the opening ones.
-func (a *Agent) flowKeys() (held, opening []flow.Key) {
-	a.flows.Each(func(k flow.Key, f *flowState) {
-		switch {
-		case f.serverRestarts != a.server.Restarts():
-		case f.phase == phaseOpen:
-			held = append(held, k)
-		case f.phase == phaseOpening:
-			opening = append(opening, k)
-		}
-	})
-	return held, opening
+// keyGroup holds the keys of flows with the same verdict.
+type keyGroup struct {
+	verdict seek.Verdict
+	keys    []flow.Key
+}
+
+// parts returns the number of datagrams that the group takes. Held flows take at least one, so that no list is empty.
+func (g *keyGroup) parts() uint16 {
+	n := (len(g.keys) + encap.MaxKeysPerReply - 1) / encap.MaxKeysPerReply
+	if g.verdict == seek.Held {
+		n = max(1, n)
+	}
+	return uint16(n)
+}
+
+// flowKeys returns the keys of the flows that the server may hold, in the order in which they are listed.
+func (a *Agent) flowKeys(now time.Time) []keyGroup {
+	var held, opening, perhaps []flow.Key
+	if !a.server.IsDead(now) {
+		a.flows.Each(func(k flow.Key, f *flowState) {
+			switch {
+			case f.phase == phaseProbing:
+				perhaps = append(perhaps, k)
+			case f.serverRestarts != a.server.Restarts():
+			case f.phase == phaseOpen:
+				held = append(held, k)
+			case f.phase == phaseOpening:
+				opening = append(opening, k)
+			}
+		})
+	}
+	return []keyGroup{{seek.Perhaps, perhaps}, {seek.Opening, opening}, {seek.Held, held}}
 }
 
 // sendKeys sends as many keys as fit into one datagram and returns the rest.
