Agents log the final list of flows

The line `final flow list` says whether the list had changed, its size, how long the save took and its error.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -152,7 +152,9 @@
 		}
 		if list, changed := a.encodeFlowList(false); changed {
 			savedAt = time.Now()
-			a.storeFlowList(ctx, list)
+			if err := a.storeFlowList(ctx, list); err != nil {
+				a.opts.Log.Debug("can't save the list of flows", zap.Error(err))
+			}
 		}
 	})
 	return err
@@ -162,19 +164,24 @@
 func (a *Agent) SaveFlowList() {
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
 	defer cancel()
-	if list, changed := a.encodeFlowList(true); changed {
-		a.storeFlowList(ctx, list)
+	started := time.Now()
+	list, changed := a.encodeFlowList(true)
+	var err error
+	if changed {
+		err = a.storeFlowList(ctx, list)
 	}
+	a.opts.Log.Info("final flow list", zap.Bool("changed", changed), zap.Int("bytes", len(list)), zap.Duration("took", time.Since(started)), zap.Error(err))
 }
 
 // storeFlowList writes a list to the store. After a failure all flows count as unsaved again.
-func (a *Agent) storeFlowList(ctx context.Context, list []byte) {
+func (a *Agent) storeFlowList(ctx context.Context, list []byte) error {
 	if err := a.opts.FlowListStore.Save(ctx, list); err != nil {
-		a.opts.Log.Debug("can't save the list of flows", zap.Error(err))
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.flows.Each(func(_ flow.Key, f *flowState) { f.saved = false })
+		return err
 	}
+	return nil
 }
 
 // encodeFlowList returns the encoded list of flows and whether it differs enough from the last one to be saved. The final
