--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
@@ -344,6 +345,25 @@
 	env.Equal(keys, []flow.Key{flow.NewKey(client, service)})
 }
 
+// Guards against flows that a restarted agent doesn't know although its predecessor stopped as planned: a periodic list omits
+// young flows, which must not keep the final list from being saved.
+func TestFinalListIncludesFlowsOmittedFromPeriodicList(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	other := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.mu.Lock()
+	env.agent.setPhase(env.agent.flows.Put(other, flowState{firstSeen: time.Now().Add(-2 * minSaveAge)}, time.Now()), phaseOpen)
+	env.agent.mu.Unlock()
+	_, changed := env.agent.encodeFlowList(false)
+	env.True(changed) // The older flow.
+	env.agent.SaveFlowList()
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+	env.Equal(len(encap.ParseKeys(saved.Keys)), 2)
+}
+
 // A restarted agent must recognize the list that its predecessor saved. The server's start time has a fraction of a second,
 // which must survive the encoding; otherwise the list looks like one of another start.
 func TestRestartedAgentLoadsSavedFlowList(t *testing.T) {
