Probes aren't queued behind other requests

Cause: an entry that searches for a flow's holder probes all servers that may hold it. An agent put the probe's request behind the requests that were waiting for a slot, up to 1.8 s in the logs. Packets reached wrong servers one after the other as their queues drained, the server that held the flow got it late or not at all, and the entry, which takes 25 ms without a returned packet for the sign that a server holds the flow, was answered late. Each probe of up to 35 servers also took a place in 34 wrong queues. Evidence: `request waited` of one flow at six agents after one probe of 35 servers, from 131 ms to 1.77 s, and none at its holder. TestProbeIsNotQueued and TestProbeSendsQueuedPackets failed before: the server got nothing. Change: the first request of a probed flow goes to the server at once and takes a slot; a packet that was queued when the probe comes goes with it. A server that doesn't hold the flow returns the packet and the slot is free again. Requests forwarded to a holder wait as before.

--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -252,6 +252,46 @@
 	env.Equal(env.readKind(env.entry), encap.Return)
 }
 
+// fillSlots starts one request more than the server has slots.
+func (env *testEnv) fillSlots() {
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	for port := range uint16(2) {
+		k := flow.NewKey(netip.AddrPortFrom(client.Addr(), 5000+port), service)
+		env.agent.queue.Add(env.agent.newRequest(k, time.Now()))
+		_, ok := env.agent.queue.Next(time.Now(), 2, time.Millisecond)
+		env.True(ok)
+	}
+}
+
+// Guards against packets of an open flow that reach only other servers for seconds: a probe that waits for a free slot leaves
+// the entry without a decision, and delays the packet at the server that holds the flow.
+func TestProbeIsNotQueued(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.fillSlots()
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 1, request)
+	env.Equal(env.read(env.server), []byte{1})
+	env.Equal(env.agent.gauges(), gauges{running: 3}) // It takes a slot, since the server may hold the flow.
+	env.receiveFromServer(1, flow.Header{Bounced: true, Len: request.Len, Ack: true})
+	env.Equal(env.readKind(env.entry), encap.Return)
+	env.Equal(env.agent.gauges(), gauges{running: 2})
+	env.Equal(env.verdict(), seek.Denied)
+}
+
+// Guards against the same where one entry takes this server for the holder, so that its packet is queued, and another entry
+// probes for the flow.
+func TestProbeSendsQueuedPackets(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.fillSlots()
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 1, request)
+	env.Equal(env.agent.gauges(), gauges{waiting: 1, running: 2})
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 1, request)
+	env.Equal(env.read(env.server), []byte{1})
+	env.Equal(env.agent.gauges(), gauges{running: 3})
+}
+
 func TestProbedFlowIsClaimedAfterTheFirstReply(t *testing.T) {
 	env := newTestEnv(t, false)
 	env.receiveHeartbeat(nil)
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -51,6 +51,8 @@
 	// claimPending means that the entry must be sent a claim once the server responds: it expects the flow at another
 	// agent, or is probing for it.
 	claimPending bool
+	// probed is set once an entry has probed for the flow here. The first request then doesn't wait for a free slot.
+	probed bool
 	// firstSeen is when the agent first saw the flow; saved means that the last saved list contains it.
 	firstSeen time.Time
 	saved     bool
@@ -138,6 +140,11 @@
 	if f.requestPending {
 		return true
 	}
+	if f.probed && f.phase == phaseProbing {
+		f.requestPending, f.requestedAt = true, now
+		a.startRequest(key, f, now)
+		return true
+	}
 	f.requestPending, f.requestQueued, f.requestedAt = true, true, now
 	a.server.RecordRequest(f.responseSeen, now)
 	a.queue.Add(a.newRequest(key, now))
@@ -146,6 +153,27 @@
 	return false
 }
 
+// startRequest marks a request as sent to the server without waiting for a free slot.
+func (a *Agent) startRequest(key flow.Key, f *flowState, now time.Time) {
+	a.queue.Remove(key)
+	a.queue.Start(key, now)
+	f.requestQueued, f.dispatchedAt, f.concurrency = false, now, a.queue.Running()
+}
+
+// sendProbe sends the queued packets of a flow to the server at once: the entry waits for the server's decision, and only
+// one of the probed servers holds the flow.
+func (a *Agent) sendProbe(key flow.Key, f *flowState, now time.Time) {
+	f.probed = true
+	if f.phase != phaseProbing || !f.requestQueued {
+		return
+	}
+	a.startRequest(key, f, now)
+	for _, packet := range f.buffered {
+		a.sendToServer(packet)
+	}
+	f.buffered = nil
+}
+
 // defaultObjective and defaultTimeout apply to flows without a known route.
 const (
 	defaultObjective = 200 * time.Millisecond
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -157,6 +157,9 @@
 		a.counters.Add("tried", 1)
 	}
 	f.entry = from
+	if header.Kind == encap.Probe {
+		a.sendProbe(key, f, now)
+	}
 	if a.handleClientData(key, f, h, b[encap.HeaderSize:], now) {
 		a.sendToServer(b[encap.HeaderSize:])
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -48,6 +48,9 @@
 // Add adds a waiting request.
 func (q *Queue[ID]) Add(r Request[ID]) { q.waiting = append(q.waiting, r) }
 
+// Start adds a request that was sent to the server at now without waiting.
+func (q *Queue[ID]) Start(id ID, now time.Time) { q.running[id] = now }
+
 // Remove removes a waiting or running request and reports whether it was waiting.
 func (q *Queue[ID]) Remove(id ID) (wasWaiting bool) {
 	delete(q.running, id)
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -151,3 +151,17 @@
 	is.True(paced > 0.75)
 	is.True(paced > inArrivalOrder+0.2)
 }
+
+// A request that was sent without waiting occupies a slot like any other.
+func TestStartedRequestTakesASlot(t *testing.T) {
+	is := is.New(t)
+	q := New[int]()
+	q.Start(1, base)
+	q.Add(request(2, 1, time.Second, time.Second))
+	_, ok := q.Next(base, 1, serviceTime)
+	is.True(!ok)
+	is.True(!q.Remove(1))
+	id, ok := q.Next(base, 1, serviceTime)
+	is.True(ok)
+	is.Equal(id, 2)
+}
