No server is probed while a possible holder hasn't replied

Cause: while an agent's reply was missing, as during its planned stop, an entry probed up to two servers in 2.5 s. The agent that was missing is the holder's as a rule, so both were wrong; the bound held for one search, and each entry that the flow's packets passed in a roll of entries probed two more servers. TestNoServerIsProbedWhileReplyIsMissing failed before: the first step after the timeout was a probe. Change: servers are probed only once all agents that count as live have replied. TestBlindProbesAreBounded, which allowed two, is replaced by the stricter test. Found flows: an agent that holds the flow still gets its packets at once.

--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -3,8 +3,8 @@
 // All agents of the flow's services are queried, and the one that holds the flow gets its packets. An agent that started
 // after its backend server can't determine whether the server holds the flow. Such a server is probed with a packet,
 // which it bounces if it doesn't hold the flow. All such servers are probed at once, so that the holder gets the packet
-// too. While an agent has not replied, the holder may not be among them and only a few are probed, since packets at
-// wrong servers break the flow. A flow is lost only after every possible holder has denied it.
+// too. While an agent has not replied, the holder may not be among them and none is probed, since packets at wrong
+// servers alone break the flow. A flow is lost only after every possible holder has denied it.
 //
 // The package does no I/O and reads no clock: the current time is passed in.
 package seek
@@ -19,10 +19,6 @@
 	replyTimeout = 25 * time.Millisecond
 	// probeTimeout is how long a probed server has to bounce the packet.
 	probeTimeout = 25 * time.Millisecond
-	// maxBlindProbes bounds the servers probed within blindProbeWindow while an agent has not replied. Three packets at
-	// wrong servers count as a broken flow.
-	maxBlindProbes   = 2
-	blindProbeWindow = 2500 * time.Millisecond
 )
 
 // Verdict is an agent's reply about a flow. Zero means that it has not replied.
@@ -94,8 +90,6 @@
 	// queriedAt is when the agents were last queried; replyTimeout counts from then.
 	queriedAt  time.Time
 	candidates []candidate
-	// probeTimes has the time of each probe sent, for the limit on blind probes.
-	probeTimes []time.Time
 }
 
 // Candidate is an agent that may hold the flow.
@@ -181,15 +175,13 @@
 	if probed := s.probed(now); len(probed) > 0 {
 		return s.evaluateProbes(probed, now)
 	}
+	if unanswered > 0 {
+		return Step{Action: Drop}
+	}
 	if targets := s.probeTargets(Perhaps, now); len(targets) > 0 {
-		if unanswered > 0 {
-			targets = targets[:min(len(targets), s.blindProbesLeft(now))]
-		}
-		if len(targets) > 0 {
-			return s.probe(targets, now)
-		}
+		return s.probe(targets, now)
 	}
-	if unanswered > 0 || s.undecided() {
+	if s.undecided() {
 		return Step{Action: Drop}
 	}
 	return Step{Action: Lost}
@@ -276,20 +268,8 @@
 		for _, agent := range agents {
 			if s.candidates[i].agent == agent {
 				s.candidates[i].probedAt = now
-				s.probeTimes = append(s.probeTimes, now)
 			}
 		}
 	}
 	return Step{Action: Probe, Agents: agents}
 }
-
-// blindProbesLeft returns how many servers may still be probed while an agent has not replied.
-func (s *Search) blindProbesLeft(now time.Time) int {
-	recent := 0
-	for _, t := range s.probeTimes {
-		if now.Sub(t) < blindProbeWindow {
-			recent++
-		}
-	}
-	return max(0, maxBlindProbes-recent)
-}
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -81,25 +81,19 @@
 	is.Equal(s.Next(at(probeTimeout+time.Millisecond)), Step{Action: Forward, Agents: []netip.AddrPort{agentB}})
 }
 
-// While an agent has not replied, at most maxBlindProbes wrong servers may get packets of the flow within blindProbeWindow.
-func TestBlindProbesAreBounded(t *testing.T) {
+// Guards against packets of an open flow that reach only other servers: while an agent has not replied, as during its
+// planned stop, it may be the holder's, and each entry that the flow's packets pass would probe servers of its own.
+func TestNoServerIsProbedWhileReplyIsMissing(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA, agentB, agentC, agentD)
 	for _, a := range []netip.AddrPort{agentA, agentB, agentC} {
 		s.RecordVerdict(a, Perhaps, Reply)
 	}
-	probed := 0
 	for d := replyTimeout; d < 2*time.Second; d += 10 * time.Millisecond {
-		step := s.Next(at(d))
-		if step.Action != Probe {
-			continue
-		}
-		probed += len(step.Agents)
-		for _, a := range step.Agents {
-			s.RecordVerdict(a, Denied, Reply)
-		}
+		is.Equal(s.Next(at(d)).Action, Drop)
 	}
-	is.Equal(probed, maxBlindProbes)
+	s.RecordVerdict(agentD, Perhaps, Reply)
+	is.Equal(s.Next(at(2*time.Second)), Step{Action: Probe, Agents: []netip.AddrPort{agentA, agentB, agentC, agentD}})
 }
 
 func TestOpeningFlowIsProbedFirst(t *testing.T) {
