A resumed search uses the agents that are known now

What callers would see: an open flow is reset though its agent and server are sound. Cause: a search kept the candidates, and which of them were dead, as they were when it began, up to five seconds before. An agent that was back meanwhile wasn't awaited, and one that had become known wasn't queried. Evidence: TestResumedSearchAwaitsAgentThatIsBack of relay failed before: the client got a reset. Change: Search.Update, called when a packet resumes a search, adds candidates and records which are dead now. Result: go test ./internal/seek ./internal/relay passes.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -360,3 +360,19 @@
 	tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
 	tr.True(!tr.receivesReset())
 }
+
+// Guards against the reset of an open flow: a search that began while the flow's agent was dead must await its reply once it
+// is back.
+func TestResumedSearchAwaitsAgentThatIsBack(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.possibleHolders[0].Dead, tr.cluster.allAgents[0].Dead = true, true
+	tr.sendFromClient(1, ack)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
+	tr.relay.mu.Lock()
+	tr.relay.pauseSearch(key, tr.relay.searches[key], time.Now()) // B hasn't replied.
+	tr.relay.mu.Unlock()
+	tr.cluster.possibleHolders[0].Dead, tr.cluster.allAgents[0].Dead = false, false
+	tr.sendFromClient(1, ack)
+	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
+	tr.True(!tr.receivesReset())
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -59,7 +59,7 @@
 	s.queuePacket(b)
 	if s.paused {
 		s.paused = false
-		s.Retry(now)
+		s.Update(r.possibleHolders(rt, s.allServices), now)
 		r.queryUnanswered(key, s, now)
 		r.step(key, s, now)
 	}
@@ -68,18 +68,25 @@
 // newSearch returns a search among the agents of the route's services. A nil route means that there is no configuration
 // yet; then all agents are searched.
 func (r *Relay) newSearch(rt *route.Route, now time.Time) *search {
-	s := &search{startedAt: now, paused: true}
-	if rt == nil {
+	s := &search{startedAt: now, paused: true, allServices: rt == nil}
+	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now)
+	if rt != nil {
+		s.route, s.service = rt.Name, route.ServiceID(rt.Targets[0].Service)
+	}
+	return s
+}
+
+// possibleHolders returns the agents of the route's services, or those of all services.
+func (r *Relay) possibleHolders(rt *route.Route, allServices bool) []seek.Candidate {
+	if allServices || rt == nil {
 		all, _ := r.opts.Cluster.AllAgents(maxAgentsOfAllServices)
-		s.Search, s.allServices = seek.New(all, now), true
-		return s
+		return all
 	}
 	services := make([]uint64, 0, len(rt.Targets))
 	for _, t := range rt.Targets {
 		services = append(services, route.ServiceID(t.Service))
 	}
-	s.Search, s.route, s.service = seek.New(r.opts.Cluster.PossibleHolders(services), now), rt.Name, services[0]
-	return s
+	return r.opts.Cluster.PossibleHolders(services)
 }
 
 // queuePacket queues a copy of a packet. If the queue is full, it replaces the last one.
@@ -135,7 +142,7 @@
 		return
 	}
 	s.allServices = true
-	s.Extend(all, now)
+	s.Update(all, now)
 	version := configVersion(r.opts.Cluster.Table())
 	for _, agent := range s.Unanswered() {
 		// With this configuration version the agent can't have opened a flow of the route since, so its list is still valid.
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -108,17 +108,22 @@
 	return s
 }
 
-// Extend adds the candidates that are not part of the search yet and restarts the reply timeout.
-func (s *Search) Extend(more []Candidate, now time.Time) {
-	queried := make(map[netip.AddrPort]bool, len(s.candidates))
+// Update adds the candidates that are not part of the search yet, records which of them are dead now, and restarts the reply
+// timeout. Verdicts are kept.
+func (s *Search) Update(current []Candidate, now time.Time) {
+	known := make(map[netip.AddrPort]*candidate, len(s.candidates))
 	for i := range s.candidates {
-		queried[s.candidates[i].agent] = true
+		known[s.candidates[i].agent] = &s.candidates[i]
 	}
-	for _, c := range more {
-		if !queried[c.Agent] {
-			s.candidates = append(s.candidates, candidate{agent: c.Agent, dead: c.Dead})
+	var added []candidate
+	for _, c := range current {
+		if k := known[c.Agent]; k != nil {
+			k.dead = c.Dead
+			continue
 		}
+		added = append(added, candidate{agent: c.Agent, dead: c.Dead})
 	}
+	s.candidates = append(s.candidates, added...)
 	s.queriedAt = now
 }
 
@@ -143,9 +148,6 @@
 	return false
 }
 
-// Retry restarts the reply timeout and keeps the verdicts.
-func (s *Search) Retry(now time.Time) { s.queriedAt = now }
-
 // RecordVerdict records an agent's verdict and its source. An agent that isn't a candidate becomes one only by Held or
 // Opening.
 func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) {
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -53,12 +53,12 @@
 }
 
 // A flow that an earlier configuration routed to another service must be found after the search is extended to its agents.
-func TestExtendFindsAHolderOfAnotherService(t *testing.T) {
+func TestUpdateFindsHolderOfAnotherService(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA)
 	s.RecordVerdict(agentA, Denied, Reply)
 	is.Equal(s.Next(at(0)).Action, Lost)
-	s.Extend([]Candidate{{Agent: agentA}, {Agent: agentB}}, at(0))
+	s.Update([]Candidate{{Agent: agentA}, {Agent: agentB}}, at(0))
 	is.Equal(s.Unanswered(), []netip.AddrPort{agentB})
 	is.Equal(s.Next(at(0)).Action, Wait)
 	s.RecordVerdict(agentB, Held, Reply)
@@ -96,6 +96,22 @@
 	is.Equal(s.Next(at(2*time.Second)), Step{Action: Probe, Agents: []netip.AddrPort{agentA, agentB, agentC, agentD}})
 }
 
+// Guards against the reset of an open flow: an agent that was dead when the search began may be back when the search is
+// resumed, and must then deny the flow itself.
+func TestResumedSearchAwaitsAgentThatIsBack(t *testing.T) {
+	is := is.New(t)
+	s := New([]Candidate{{Agent: agentA}, {Agent: agentB, Dead: true}}, start)
+	is.Equal(s.Next(at(replyTimeout)).Action, Drop)
+	s.Update([]Candidate{{Agent: agentA}, {Agent: agentB}, {Agent: agentC}}, at(time.Second))
+	is.Equal(s.Unanswered(), []netip.AddrPort{agentA, agentB, agentC})
+	s.RecordVerdict(agentA, Denied, Reply)
+	s.RecordVerdict(agentC, Denied, Reply)
+	is.Equal(s.Next(at(time.Second)).Action, Wait)
+	is.Equal(s.Next(at(2*time.Second)).Action, Drop)
+	s.Update([]Candidate{{Agent: agentB, Dead: true}}, at(2*time.Second))
+	is.Equal(s.Next(at(2*time.Second)).Action, Lost)
+}
+
 func TestOpeningFlowIsProbedFirst(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA, agentB)
