memb: an agent counts as failed only if other entries confirm its silence

Callers would see an open flow reset although its agent and its backend server are sound: an entry that received no heartbeat of an agent for 1.2 s took the agent for dead on its own evidence, searched its flows, didn't await its reply, and reset them when all other agents denied. Heartbeats may be lost on the way to this entry alone; or the agent is in a planned stop whose announcement this entry missed, or which began before it started.

Evidence: on (`go test -count=1 ./internal/memb ./internal/relay -run 'Silen|FailedAgent|Missed'`) three tests failed. TestSilenceAtOneEntryIsNotAFailure and TestMissedPlannedStopIsNotAFailure: the agent was dead at the first tick of the entry, while the others heard it or knew of its stop. TestFlowOfAgentSilentAtOneEntryIsNotReset, through relay.Relay and running nodes: the caller got a reset after the other agent's denial, while three other entries heard the flow's agent and AllAgentsKnown held. TestFlowOfFailedAgentIsReset passed before and does after.

Now an entry asks other entries for their opinions on the agents that are silent, as SWIM does by indirect probes, by one small datagram twice a second while they are silent. The agent counts as failed if two others (one, if the entry hears only one) say that they don't hear it either, and none says that it does or knows of a planned stop. Processes that can't know give no opinion. Package alive decides; memb asks and replies. Entries of different failure domains are asked where possible, and those that contradicted before are asked again: a random choice would sooner or later pick only entries that share the fault.

A failed agent counts as failed about 0.25 s later than before, after a round trip: others must have had the time to notice the silence. Processes of the previous release ignore the question (link.dispatch counts it as unhandled, TestUnknownKindIsIgnored); while none replies nothing is confirmed, so that a rolling upgrade resets nothing on silence alone until lostTimeout, which stays as it is.

Two events and two counters tell what was confirmed or contradicted, and by whom.

After: the tests above pass, also twice under -race; `go test -count=1 ./internal/...` passes, and so do ./internal/memb ./internal/relay ./internal/seek ./tests with -run 'Opaque|Soak|OpenFlows' (./tests 39.9 s before, 42.3 s after, once each, on a shared machine).

--- a/internal/ctrl/ctrl_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -201,3 +201,18 @@
 	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second}), "B/pulse")
 	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation}), "B/alive")
 }
+
+// Guards against a process of an earlier release that fails on a datagram of a kind it doesn't know.
+func TestUnknownKindIsIgnored(t *testing.T) {
+	is := is.New(t)
+	codec, counters := NewCodec(fleet.Secret{1}), new(expvar.Map)
+	received := 0
+	link := &Link{codec: codec, counters: counters, handlers: map[Kind]Handler{KindState: func(netip.AddrPort, []byte) { received++ }}}
+	for _, kind := range []Kind{KindSilenceQuery, KindState} {
+		datagram, err := Encode(codec, kind, SilenceQuery{Round: 1})
+		is.NoErr(err)
+		link.dispatch(netip.MustParseAddrPort("10.0.0.1:1"), datagram)
+	}
+	is.Equal(received, 1)
+	is.Equal(counters.Get("unhandled").String(), "1")
+}
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bergamotrun/bergamotrun/internal/alive"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
@@ -15,6 +16,8 @@
 	KindState Kind = iota + 16
 	KindPeerRecords
 	KindCompactState
+	KindSilenceQuery
+	KindSilenceReply
 )
 
 // State is the full heartbeat of a process that carries opaque flows.
@@ -68,6 +71,28 @@
 // MaxPeerRecords is the number of records that fit into one PeerRecords datagram.
 const MaxPeerRecords = 12
 
+// SilenceQuery asks an entry for its opinions of agents from which the sender receives no heartbeats. Processes of releases
+// without it ignore the message.
+type SilenceQuery struct {
+	// Round is repeated in the reply.
+	Round uint64 `cbor:"1,keyasint"`
+	// Suspects has the packet addresses of at most MaxSuspects agents.
+	Suspects []netip.AddrPort `cbor:"2,keyasint"`
+}
+
+// SilenceReply is the reply to a SilenceQuery.
+type SilenceReply struct {
+	Round uint64 `cbor:"1,keyasint"`
+	// Packets is the packet address of the sender.
+	Packets netip.AddrPort `cbor:"2,keyasint"`
+	// Suspects and Opinions are parallel.
+	Suspects []netip.AddrPort `cbor:"3,keyasint"`
+	Opinions []alive.Opinion  `cbor:"4,keyasint"`
+}
+
+// MaxSuspects is the number of suspects that fit into one SilenceQuery or SilenceReply datagram.
+const MaxSuspects = 64
+
 // TableArgs are the arguments of Node.Table, which returns the configuration of a process.
 type TableArgs struct{}
 
--- a/internal/memb/agents.go
+++ b/internal/memb/agents.go
@@ -68,7 +68,7 @@
 			if p == nil {
 				continue // No heartbeat for lostTimeout.
 			}
-			candidates = append(candidates, seek.Candidate{Agent: r.Packets, Dead: n.isDead(p, now)})
+			candidates = append(candidates, seek.Candidate{Agent: r.Packets, Dead: n.isDead(r.Packets, p, now)})
 		}
 	}
 	return candidates
@@ -87,15 +87,23 @@
 		if len(agents) == limit {
 			return nil, false
 		}
-		agents = append(agents, seek.Candidate{Agent: a, Dead: n.isDead(p, now)})
+		agents = append(agents, seek.Candidate{Agent: a, Dead: n.isDead(a, p, now)})
 	}
 	return agents, true
 }
 
-// isDead reports whether a process counts as failed: no heartbeat came for silenceTimeout, and it is not in a planned stop
-// that began less than plannedStopGrace ago. The caller holds the lock.
-func (n *Node) isDead(p *peer, now time.Time) bool {
-	return p.silent && now.Sub(p.lastHeartbeat) > silenceTimeout && (p.stopAnnounced.IsZero() || now.Sub(p.stopAnnounced) > plannedStopGrace)
+// isDead reports whether an agent counts as failed: no heartbeat came for silenceTimeout, it is not in a planned stop, and
+// other entries, if there are any, have confirmed the silence. The caller holds the lock.
+func (n *Node) isDead(agent netip.AddrPort, p *peer, now time.Time) bool {
+	if !p.silent || now.Sub(p.lastHeartbeat) <= silenceTimeout || p.inPlannedStop(now) {
+		return false
+	}
+	return n.view.EntryCount() <= 1 || n.suspicions.Failed(agent)
+}
+
+// inPlannedStop reports whether the process announced its stop less than plannedStopGrace ago.
+func (p *peer) inPlannedStop(now time.Time) bool {
+	return !p.stopAnnounced.IsZero() && now.Sub(p.stopAnnounced) <= plannedStopGrace
 }
 
 // Dead reports whether an agent counts as failed or is no longer known.
@@ -103,7 +111,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.peers[agent]
-	return p == nil || n.isDead(p, time.Now())
+	return p == nil || n.isDead(agent, p, time.Now())
 }
 
 // AllAgentsKnown reports whether this process knows all agents and receives heartbeats from most processes, so that a flow
@@ -115,6 +123,11 @@
 	if uptime < discoveryTime || (n.directoryRead.IsZero() && uptime < gossipDiscoveryTime) {
 		return false
 	}
+	return n.hearsMost()
+}
+
+// hearsMost reports whether heartbeats are received from more than half of the other processes. The caller holds the lock.
+func (n *Node) hearsMost() bool {
 	silent := 0
 	for _, p := range n.peers {
 		if p.silent || !p.contacted {
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -45,6 +45,12 @@
 
 // newNode returns an entry's node at selfAddr with sockets on the loopback interface.
 func newNode(t *testing.T, d *memoryDirectory) *Node {
+	t.Helper()
+	return newEntry(t, selfAddr, d)
+}
+
+// newEntry returns an entry's node at a packet address with sockets on the loopback interface.
+func newEntry(t *testing.T, packets netip.AddrPort, d *memoryDirectory) *Node {
 	t.Helper()
 	is := is.New(t)
 	secret, err := fleet.SecretFromText("a secret for tests only")
@@ -59,7 +65,7 @@
 		_ = ln.Close()
 	})
 	return New(Options{
-		Self: view.Record{Packets: selfAddr, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
+		Self: view.Record{Packets: packets, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
 		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, MaxConfigAge: maxConfigAge, Log: zap.NewNop(), Vars: vars,
 	})
 }
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/bergamotrun/bergamotrun/internal/alive"
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fresh"
 	"github.com/bergamotrun/bergamotrun/internal/route"
@@ -30,8 +31,8 @@
 	// entryHeartbeatInterval is how often an entry sends its state to all processes. A new configuration must become
 	// known to all within a fraction of a second even if the first heartbeat is lost.
 	entryHeartbeatInterval = 500 * time.Millisecond
-	// silenceTimeout is how long after its last heartbeat an agent stops getting new flows, and its flows count as lost
-	// unless another agent holds them: six heartbeat intervals of agents.
+	// silenceTimeout is how long after its last heartbeat an agent stops getting new flows, and other entries are asked
+	// whether it has failed: six heartbeat intervals of agents.
 	silenceTimeout = 1200 * time.Millisecond
 	// plannedStopGrace is how long an agent that announced its stop is expected to come back.
 	plannedStopGrace = 8 * time.Second
@@ -112,6 +113,8 @@
 	fetching  bool
 	lastTick  time.Time
 	startedAt time.Time
+	// suspicions holds the opinions of other entries on agents that are silent here.
+	suspicions *alive.Tracker
 	// directoryRead is when the directory was read last.
 	directoryRead     time.Time
 	lastHeartbeatSent time.Time
@@ -150,13 +153,17 @@
 	now := time.Now()
 	n := &Node{
 		opts: opts, self: opts.Self, seeds: opts.Seeds, view: view.New(), entriesInDomain: 1,
-		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge),
+		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge), suspicions: alive.New(),
 		lastTick: now, startedAt: now, heartbeatRequested: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
 	n.view.Merge(opts.Self, now)
 	opts.Link.SetHandler(ctrl.KindState, ctrl.TypedHandler(n.onState))
 	opts.Link.SetHandler(ctrl.KindCompactState, ctrl.TypedHandler(n.onCompactState))
 	opts.Link.SetHandler(ctrl.KindPeerRecords, ctrl.TypedHandler(n.onPeerRecords))
+	opts.Link.SetHandler(ctrl.KindSilenceQuery, ctrl.TypedHandler(n.onSilenceQuery))
+	opts.Link.SetHandler(ctrl.KindSilenceReply, ctrl.TypedHandler(n.onSilenceReply))
+	opts.Vars.Add(agentsFailedCounter, 0)
+	opts.Vars.Add(silenceContradictedCounter, 0)
 	opts.Vars.Set("config_version", expvar.Func(func() any { return n.ConfigVersion() }))
 	opts.Vars.Set("config_age_seconds", expvar.Func(func() any { return n.ConfigAge().Seconds() }))
 	opts.Vars.Set("processes_known", expvar.Func(func() any { return n.peerCount() }))
@@ -213,6 +220,7 @@
 	}
 	n.updateSilentPeers(now)
 	n.countDomainEntries()
+	questions := n.checkSuspicions(now)
 	interval := entryHeartbeatInterval
 	if n.opts.Load != nil {
 		interval = agentHeartbeatInterval
@@ -224,6 +232,7 @@
 	default:
 	}
 	n.mu.Unlock()
+	n.sendQuestions(questions)
 	if due {
 		n.sendHeartbeats(now)
 	}
