memb: a stopping process repeats the announcement of its stop

Callers would see an open flow reset during a planned restart of its agent: the stop was announced by one datagram to each entry, and an entry that lost it took the agent's silence for a failure.

Evidence: with the cause's code unchanged TestStopAnnouncementIsRepeated failed: `1 != 3`, one heartbeat with the record within the ticks in which an agent still serves, not three. A next heartbeat of the agent would be due after 200 ms, when the process has ended (it serves for 150 ms), and without the record it wouldn't tell of the stop.

Now the following ticks repeat the whole record, up to four times, 50 ms apart: an agent does so until it exits, an entry, which serves longer, doesn't flood the others. The epoch isn't raised again. Four, not without bound, since an entry sends to all processes of the deployment.

After: the test passes, twice; internal/memb, internal/relay and cmd pass with -count=2, `go test -count=1 ./tests -run 'Opaque|Soak|OpenFlows|Names|Capacity'` passes (41.1 s).

--- a/internal/memb/heartbeat.go
+++ b/internal/memb/heartbeat.go
@@ -19,14 +19,16 @@
 }
 
 // buildRound prepares a round of heartbeats; if domainOnly is set, only to the node's own failure domain. All processes get
-// the whole state if the node's record has changed, and in every fullHeartbeatEvery-th round. The caller holds the lock.
+// the whole state if the node's record has changed, while a stop is announced, and in every fullHeartbeatEvery-th round. The
+// caller holds the lock.
 func (n *Node) buildRound(now time.Time, domainOnly bool) heartbeatRound {
 	round := heartbeatRound{state: n.state(now)}
 	full := n.self.Supersedes(&n.sentRecord)
 	if !domainOnly {
 		n.heartbeats++
 		n.sentRecord = n.self
-		full = full || n.heartbeats%fullHeartbeatEvery == 0
+		full = full || n.heartbeats%fullHeartbeatEvery == 0 || n.announcementsLeft > 0
+		n.announcementsLeft = max(0, n.announcementsLeft-1)
 	}
 	for addr, p := range n.peers {
 		record, ok := n.view.Get(addr)
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -284,3 +284,26 @@
 	n.onState(requester.Control, ctrl.State{Record: starting, RequestPeers: true})
 	is.Equal(sent()-before, int64(1+maxHelloRecords/ctrl.MaxPeerRecords))
 }
+
+// Guards against a planned stop that counts as a failure since its only announcement was lost.
+func TestStopAnnouncementIsRepeated(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	n.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{} }
+	n.onState(otherAddr, ctrl.State{Record: view.Record{Packets: otherAddr, Control: otherAddr, Role: view.Entry, Domain: "a", Incarnation: 1, State: view.Up}})
+	for range initialFullHeartbeats {
+		n.sendHeartbeats(time.Now())
+	}
+	p := n.peers[otherAddr]
+	before := p.fullHeartbeats
+	n.AnnounceStop(view.Draining)
+	epoch := n.self.Epoch
+	n.tick()
+	n.tick() // An agent serves for some ticks after it announced its stop.
+	is.Equal(p.fullHeartbeats-before, 3)
+	is.Equal(n.self.Epoch, epoch)
+	for range 10 {
+		n.tick()
+	}
+	is.Equal(p.fullHeartbeats-before, 1+stopAnnouncementRepeats) // An entry serves for longer, and must not flood the others.
+}
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -41,6 +41,9 @@
 	// pauseThreshold is the gap between two ticks above which this process itself counts as paused.
 	pauseThreshold = 700 * time.Millisecond
 	tickInterval   = 50 * time.Millisecond
+	// stopAnnouncementRepeats is how often the announcement of a stop is repeated, once a tick, while the process still
+	// serves. After that the process's other heartbeats continue at their interval.
+	stopAnnouncementRepeats = 4
 	// initialFullHeartbeats is how many heartbeats to a newly discovered process contain the whole record, so that it gets
 	// the record even if one is lost. After that every fullHeartbeatEvery-th does, for processes that missed a change.
 	initialFullHeartbeats = 3
@@ -123,6 +126,8 @@
 	// entriesInDomain is the number of entries in the node's failure domain that are up, with the node itself.
 	entriesInDomain int
 	sentRecord      view.Record
+	// announcementsLeft is how often the announcement of the node's stop is still to be repeated.
+	announcementsLeft int
 	// heartbeatRequested makes the next tick send heartbeats; readRequested makes pollTable read the store.
 	heartbeatRequested chan struct{}
 	readRequested      chan struct{}
@@ -231,6 +236,7 @@
 		due = true
 	default:
 	}
+	due = due || n.announcementsLeft > 0
 	n.mu.Unlock()
 	n.sendQuestions(questions)
 	if due {
@@ -429,13 +435,15 @@
 	n.sendHello()
 }
 
-// AnnounceStop notifies the other processes that this one is stopping; state is view.Draining or view.Gone.
+// AnnounceStop notifies the other processes that this one is stopping; state is view.Draining or view.Gone. The next ticks
+// repeat the announcement, since datagrams can be lost.
 func (n *Node) AnnounceStop(state view.State) {
 	now := time.Now()
 	n.mu.Lock()
 	n.self.State = state
 	n.self.Epoch++
 	n.self.Since = now
+	n.announcementsLeft = stopAnnouncementRepeats + 1
 	n.view.Merge(n.self, now)
 	n.mu.Unlock()
 	n.sendHeartbeats(now)
