--- a/internal/alive/alive_test.go
+++ b/internal/alive/alive_test.go
@@ -102,6 +102,10 @@
 	is.Equal(len(tracker.Conclude(others, start.Add(roundInterval))), 1)
 	is.True(!tracker.Failed(target))
 
+	tracker = confirm()
+	tracker.Conclude(others, start.Add(confirmationLifetime+1))
+	is.True(!tracker.Failed(target)) // No further round was asked.
+
 	tracker = confirm()
 	tracker.Update(nil)
 	is.True(!tracker.Failed(target))
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -75,6 +75,8 @@
 	g := newGroup(t, 5)
 	silence(g.entries[0])
 	is.True(!g.deadAtFirst(testPeriod, g.entries[1:]...))
+	is.Equal(counterValue(g.entries[0], silenceContradictedCounter), int64(1))
+	is.Equal(counterValue(g.entries[0], agentsFailedCounter), int64(0))
 	silence(g.entries[1]) // Another entry in the same part of the network doesn't hear the agent either.
 	is.True(!g.deadAtFirst(testPeriod, g.entries[2:]...))
 }
