--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -45,6 +45,12 @@
 
 // newNode returns an entry's node at selfAddr with sockets on the loopback interface.
 func newNode(t *testing.T, d *memoryDirectory) *Node {
+	t.Helper()
+	return newEntry(t, selfAddr, d)
+}
+
+// newEntry returns an entry's node at a packet address with sockets on the loopback interface.
+func newEntry(t *testing.T, packets netip.AddrPort, d *memoryDirectory) *Node {
 	t.Helper()
 	is := is.New(t)
 	secret, err := fleet.SecretFromText("a secret for tests only")
@@ -59,7 +65,7 @@
 		_ = ln.Close()
 	})
 	return New(Options{
-		Self: view.Record{Packets: selfAddr, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
+		Self: view.Record{Packets: packets, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
 		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, MaxConfigAge: maxConfigAge, Log: zap.NewNop(), Vars: vars,
 	})
 }
@@ -278,3 +284,26 @@
 	n.onState(requester.Control, ctrl.State{Record: starting, RequestPeers: true})
 	is.Equal(sent()-before, int64(1+maxHelloRecords/ctrl.MaxPeerRecords))
 }
+
+// Guards against a planned stop that counts as a failure since its only announcement was lost.
+func TestStopAnnouncementIsRepeated(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	n.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{} }
+	n.onState(otherAddr, ctrl.State{Record: view.Record{Packets: otherAddr, Control: otherAddr, Role: view.Entry, Domain: "a", Incarnation: 1, State: view.Up}})
+	for range initialFullHeartbeats {
+		n.sendHeartbeats(time.Now())
+	}
+	p := n.peers[otherAddr]
+	before := p.fullHeartbeats
+	n.AnnounceStop(view.Draining)
+	epoch := n.self.Epoch
+	n.tick()
+	n.tick() // An agent serves for some ticks after it announced its stop.
+	is.Equal(p.fullHeartbeats-before, 3)
+	is.Equal(n.self.Epoch, epoch)
+	for range 10 {
+		n.tick()
+	}
+	is.Equal(p.fullHeartbeats-before, 1+stopAnnouncementRepeats) // An entry serves for longer, and must not flood the others.
+}
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"github.com/bergamotrun/bergamotrun/internal/alive"
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fresh"
 	"github.com/bergamotrun/bergamotrun/internal/route"
@@ -30,8 +31,8 @@
 	// entryHeartbeatInterval is how often an entry sends its state to all processes. A new configuration must become
 	// known to all within a fraction of a second even if the first heartbeat is lost.
 	entryHeartbeatInterval = 500 * time.Millisecond
-	// silenceTimeout is how long after its last heartbeat an agent stops getting new flows, and its flows count as lost
-	// unless another agent holds them: six heartbeat intervals of agents.
+	// silenceTimeout is how long after its last heartbeat an agent stops getting new flows, and other entries are asked
+	// whether it has failed: six heartbeat intervals of agents.
 	silenceTimeout = 1200 * time.Millisecond
 	// plannedStopGrace is how long an agent that announced its stop is expected to come back.
 	plannedStopGrace = 8 * time.Second
@@ -40,6 +41,9 @@
 	// pauseThreshold is the gap between two ticks above which this process itself counts as paused.
 	pauseThreshold = 700 * time.Millisecond
 	tickInterval   = 50 * time.Millisecond
+	// stopAnnouncementRepeats is how often the announcement of a stop is repeated, once a tick, while the process still
+	// serves. After that the process's other heartbeats continue at their interval.
+	stopAnnouncementRepeats = 4
 	// initialFullHeartbeats is how many heartbeats to a newly discovered process contain the whole record, so that it gets
 	// the record even if one is lost. After that every fullHeartbeatEvery-th does, for processes that missed a change.
 	initialFullHeartbeats = 3
@@ -112,6 +116,8 @@
 	fetching  bool
 	lastTick  time.Time
 	startedAt time.Time
+	// suspicions holds the opinions of other entries on agents that are silent here.
+	suspicions *alive.Tracker
 	// directoryRead is when the directory was read last.
 	directoryRead     time.Time
 	lastHeartbeatSent time.Time
@@ -120,6 +126,8 @@
 	// entriesInDomain is the number of entries in the node's failure domain that are up, with the node itself.
 	entriesInDomain int
 	sentRecord      view.Record
+	// announcementsLeft is how often the announcement of the node's stop is still to be repeated.
+	announcementsLeft int
 	// heartbeatRequested makes the next tick send heartbeats; readRequested makes pollTable read the store.
 	heartbeatRequested chan struct{}
 	readRequested      chan struct{}
@@ -150,13 +158,17 @@
 	now := time.Now()
 	n := &Node{
 		opts: opts, self: opts.Self, seeds: opts.Seeds, view: view.New(), entriesInDomain: 1,
-		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge),
+		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge), suspicions: alive.New(),
 		lastTick: now, startedAt: now, heartbeatRequested: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
 	n.view.Merge(opts.Self, now)
 	opts.Link.SetHandler(ctrl.KindState, ctrl.TypedHandler(n.onState))
 	opts.Link.SetHandler(ctrl.KindCompactState, ctrl.TypedHandler(n.onCompactState))
 	opts.Link.SetHandler(ctrl.KindPeerRecords, ctrl.TypedHandler(n.onPeerRecords))
+	opts.Link.SetHandler(ctrl.KindSilenceQuery, ctrl.TypedHandler(n.onSilenceQuery))
+	opts.Link.SetHandler(ctrl.KindSilenceReply, ctrl.TypedHandler(n.onSilenceReply))
+	opts.Vars.Add(agentsFailedCounter, 0)
+	opts.Vars.Add(silenceContradictedCounter, 0)
 	opts.Vars.Set("config_version", expvar.Func(func() any { return n.ConfigVersion() }))
 	opts.Vars.Set("config_age_seconds", expvar.Func(func() any { return n.ConfigAge().Seconds() }))
 	opts.Vars.Set("processes_known", expvar.Func(func() any { return n.peerCount() }))
@@ -213,6 +225,7 @@
 	}
 	n.updateSilentPeers(now)
 	n.countDomainEntries()
+	questions := n.checkSuspicions(now)
 	interval := entryHeartbeatInterval
 	if n.opts.Load != nil {
 		interval = agentHeartbeatInterval
@@ -223,7 +236,9 @@
 		due = true
 	default:
 	}
+	due = due || n.announcementsLeft > 0
 	n.mu.Unlock()
+	n.sendQuestions(questions)
 	if due {
 		n.sendHeartbeats(now)
 	}
@@ -420,13 +435,15 @@
 	n.sendHello()
 }
 
-// AnnounceStop notifies the other processes that this one is stopping; state is view.Draining or view.Gone.
+// AnnounceStop notifies the other processes that this one is stopping; state is view.Draining or view.Gone. The next ticks
+// repeat the announcement, since datagrams can be lost.
 func (n *Node) AnnounceStop(state view.State) {
 	now := time.Now()
 	n.mu.Lock()
 	n.self.State = state
 	n.self.Epoch++
 	n.self.Since = now
+	n.announcementsLeft = stopAnnouncementRepeats + 1
 	n.view.Merge(n.self, now)
 	n.mu.Unlock()
 	n.sendHeartbeats(now)
