deliv: a late first heartbeat doesn't make the flow table complete

Callers of open flows would see a reset: after a restart of the agent the server's first heartbeat came more than two intervals later, and the agent then took the server for one that had started after itself. Its table counted as complete, so the agent denied the flows that its sound server held, and an entry whose other agents denied them too reset them.

Cause: lateness was taken for a late start. A heartbeat is late for other reasons as well: a call hangs for a second before the server sends the next one, a connection is lost, or a process is paused.

Evidence: on the old code TestLateFirstHeartbeatDoesNotCompleteTable and TestClockStepDoesNotCompleteTable failed with "denied != perhaps".

Fix: the heartbeat itself must show that the server is younger than the agent, twice: by its start time, and by its sequence number, which bounds the server's age from above however late the heartbeat is. In doubt the table completes by the idle timeout as before. A server that an agent hears from its start is still recognized by IsNew.

The line "backend server changed" now has the agent's uptime, the restarts, and whether the table counts as complete.

Not covered: IsNew depends on the wall clock alone. It is wrong if the clock is set back by about the server's age while an agent restarts beside a server that is still cold.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -216,16 +216,16 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, known := a.server.LastHeartbeat()
+	restarts := a.server.Restarts()
 	change, err := a.server.RecordHeartbeat(hb, now)
 	if err != nil {
 		return err
 	}
-	if change == server.ChangeStarted &&
-		(known || now.Sub(a.startedAt) > 2*a.opts.HeartbeatInterval || hb.IsNew(now, a.opts.HeartbeatInterval)) {
-		a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
-	}
 	if change == server.ChangeStarted {
+		restarted := a.server.Restarts() != restarts
+		if restarted || hb.IsNew(now, a.opts.HeartbeatInterval) || hb.StartedSince(a.startedAt, now, a.opts.HeartbeatInterval) {
+			a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
+		}
 		a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 		select {
 		case a.serverStarted <- struct{}{}:
@@ -235,7 +235,8 @@
 	if change != server.ChangeNone {
 		a.opts.Log.Info("backend server changed", zap.String("id", hb.ID), zap.Stringer("change", change),
 			zap.String("service", hb.Service), zap.Uint64("sequence", hb.Sequence), zap.Time("born", hb.StartedAt),
-			zap.Duration("cold", hb.ColdRemaining), zap.Int("slots", hb.Slots))
+			zap.Duration("cold", hb.ColdRemaining), zap.Int("slots", hb.Slots), zap.Int("restarts", a.server.Restarts()),
+			zap.Duration("agent_up", now.Sub(a.startedAt)), zap.Bool("table_complete", a.tableComplete(now)))
 	}
 	a.updateReadiness(now)
 	return nil
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -133,6 +134,25 @@
 	return hb.ColdRemaining > 0 && !hb.StartedAt.IsZero() && age >= 0 && float64(age) < maxAgeFraction*float64(interval)
 }
 
+// callTimeout is how long a server waits for the acknowledgement of a heartbeat.
+const callTimeout = time.Second
+
+// maxAge returns an upper bound for the time since the server started, from the number of its heartbeats: each is sent at
+// most one interval after the end of the call before it. Lost and late heartbeats and clock steps don't make it too low.
+func (hb *Heartbeat) maxAge(interval time.Duration) time.Duration {
+	perHeartbeat := interval + callTimeout
+	if hb.Sequence >= uint64(math.MaxInt64/perHeartbeat) {
+		return math.MaxInt64
+	}
+	return time.Duration(hb.Sequence+1) * perHeartbeat
+}
+
+// StartedSince reports whether the server certainly started after t, a time of a clock that the server shares. Both the
+// start time and the number of heartbeats must show it: the wall clock may have been set back since the server's start.
+func (hb *Heartbeat) StartedSince(t, now time.Time, interval time.Duration) bool {
+	return hb.StartedAt.After(t) && hb.maxAge(interval) < now.Sub(t)
+}
+
 // RecordShutdown records the shutdown notice of the server id. It reports whether id is the server of the last heartbeat.
 func (s *Server) RecordShutdown(id string) bool {
 	if !s.known || s.last.ID != id {
