server: a delayed heartbeat of an earlier start is no restart

Callers of open flows would see a reset of all flows of a sound server, idle ones too.

Cause: every heartbeat of another start counted as a restart of the server. A heartbeat that was delayed may arrive after its sender has crashed. Two orders were wrong: it is the first that a restarted agent receives, and the running server's next one counts as the restart; or it arrives when the running server's heartbeats have been missing for three intervals, and both it and the running server's next one count as a restart. The agent then reset all flows and took its table for complete.

Evidence: on the old code TestDelayedHeartbeatBeforeFirstOneKeepsFlows failed with "denied != held", and TestDelayedHeartbeatIsNotCountedAsRestart with one restart instead of none.

Fix: a restart counts only if it is certain: the server started after the agent began to receive heartbeats, and the heartbeat isn't of the start that an older one replaced. A start that looks older, as after the clock was set back, is accepted as before, but counts as a restart only if its sequence number shows that it began after the last heartbeat of the other start. In doubt the flows stay; if they are lost, the server bounces their packets and they are reset then.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -124,10 +124,13 @@
 // New returns an agent and registers its metrics in opts.Vars.
 func New(opts Options) *Agent {
 	now := time.Now()
+	serverOpts := server.Options{Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval}
+	if !opts.FirstStart {
+		serverOpts.ObservedSince = now
+	}
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastTick: now,
-		server: server.New(server.Options{Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval}),
-		flows:  flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
+		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat,
@@ -210,8 +213,8 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the backend server. A restart of the server resets the flows of its earlier
-// start.
+// HandleHeartbeat processes a heartbeat of the backend server. A certain restart of the server resets the flows of its
+// earlier start.
 func (a *Agent) HandleHeartbeat(hb server.Heartbeat) error {
 	now := time.Now()
 	a.mu.Lock()
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/bergamotrun/bergamotrun/internal/encap"
+	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 	"github.com/bergamotrun/bergamotrun/internal/server"
 )
@@ -38,3 +40,25 @@
 	})
 	env.Equal(env.verdict(), seek.Denied)
 }
+
+// A delayed heartbeat of an earlier start may be the first that a restarted agent receives. The next heartbeat is then not
+// the sign of a restart, and must not reset flows that the agent has learned from the server's packets.
+func TestDelayedHeartbeatBeforeFirstOneKeepsFlows(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.read(env.client), []byte{5})
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID = "i-0" })
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 30, startedAt.Add(time.Minute) })
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.read(env.client), nil) // No reset.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.read(env.server), []byte{6})
+	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
+}
+
+// unknownFlowVerdict returns the agent's verdict on a flow that it has never seen.
+func (env *testEnv) unknownFlowVerdict() seek.Verdict {
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	return env.agent.verdict(flow.NewKey(service, client), time.Now())
+}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -80,11 +80,28 @@
 	if s.known && hb.StartedAt.Before(s.last.StartedAt) && !s.heartbeatsLapsed(now) {
 		return ChangeNone, ErrStale
 	}
-	s.reset(now)
+	restarted := s.isRestart(&hb, now)
+	if s.known && hb.StartedAt.Before(s.last.StartedAt) {
+		s.replaced = s.last
+	}
+	s.reset(restarted, now)
 	s.store(hb, now)
 	return ChangeStarted, nil
 }
 
+// isRestart reports whether a heartbeat of another start than the last one proves that the server has started again, so that
+// its flows are lost. A delayed heartbeat of an earlier start proves nothing, whether it comes before or after those of
+// the running server.
+func (s *Server) isRestart(hb *Heartbeat, now time.Time) bool {
+	switch {
+	case !s.known, hb.ID == s.replaced.ID && hb.StartedAt.Equal(s.replaced.StartedAt):
+		return false
+	case hb.StartedAt.Before(s.last.StartedAt):
+		return hb.maxAge(s.opts.HeartbeatInterval) <= now.Sub(s.lastHeartbeatAt)
+	}
+	return !hb.StartedAt.Before(s.opts.ObservedSince)
+}
+
 // update records a heartbeat of the current start. Draining and leaving are final within a start.
 func (s *Server) update(hb Heartbeat, now time.Time) Change {
 	if s.left || hb.Sequence <= s.last.Sequence {
@@ -113,10 +130,9 @@
 	return s.left || now.Sub(s.lastHeartbeatAt) > heartbeatTimeoutIntervals*s.opts.HeartbeatInterval
 }
 
-// reset discards the state of an earlier start. The first heartbeat doesn't count as a restart, since the agent may
-// have seen flows of this start before.
-func (s *Server) reset(now time.Time) {
-	if s.known {
+// reset discards the state of an earlier start and counts the restart if it is certain.
+func (s *Server) reset(restarted bool, now time.Time) {
+	if restarted {
 		s.restarts++
 	}
 	s.left = false
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -36,6 +36,9 @@
 	Service string
 	// HeartbeatInterval is the time between the server's heartbeats.
 	HeartbeatInterval time.Duration
+	// ObservedSince is since when the server's heartbeats have been received. A server that started earlier may have been
+	// running before the first heartbeat of another start. The zero time means that no server was running before.
+	ObservedSince time.Time
 }
 
 // Server is the observed state of a backend server. It is not safe for concurrent use.
@@ -48,6 +51,8 @@
 	last            Heartbeat
 	lastHeartbeatAt time.Time
 	coldUntil       time.Time
+	// replaced is the last heartbeat before one with an earlier StartedAt was accepted. It may be of the running server.
+	replaced Heartbeat
 
 	lastPacketAt        time.Time
 	unansweredOpens     int
@@ -112,7 +117,7 @@
 	return s.left || (now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout)
 }
 
-// Restarts returns how many restarts of the server were observed. Flows of an earlier start are lost.
+// Restarts returns how many restarts of the server are certain. Flows of an earlier start are lost.
 func (s *Server) Restarts() int { return s.restarts }
 
 // RecordPacket records that the server sent a packet.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -189,3 +189,21 @@
 
 // afterStart returns the time elapsed after the start of the server in the heartbeats that heartbeat returns.
 func afterStart(elapsed time.Duration) time.Time { return epoch.Add(elapsed) }
+
+// A delayed heartbeat of an earlier start may arrive while the heartbeats of the running server are missing. It must not
+// count as a restart, nor must the running server's next heartbeat: its flows would be reset.
+func TestDelayedHeartbeatIsNotCountedAsRestart(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	current := heartbeat(20)
+	current.ID, current.StartedAt = "i-2", epoch.Add(10*time.Second)
+	mustRecordHeartbeat(t, s, current, epoch)
+	mustRecordHeartbeat(t, s, heartbeat(90), epoch.Add(4*interval))
+	is.Equal(s.Restarts(), 0)
+	current.Sequence = 21
+	mustRecordHeartbeat(t, s, current, epoch.Add(5*interval))
+	is.Equal(s.Restarts(), 0)
+	current.Sequence, current.StartedAt = 1, epoch.Add(20*time.Second)
+	mustRecordHeartbeat(t, s, current, epoch.Add(10*interval))
+	is.Equal(s.Restarts(), 1)
+}
