deliv: a pause of the agent doesn't make its server count as dead

Callers of open flows would see a reset after their server's agent was paused, though the server is sound.

Cause: heartbeats that were missed in a pause of the agent are made good by the next tick. The packets that had queued in the sockets may be handled before it. The server then counted as dead: the agent reset the flows of these packets and denied all flows to entries.

Evidence: on the old code TestPauseOfAgentKeepsFlowsBeforeNextTick failed: the packet didn't reach the server.

Fix: every event makes the pause good before it is handled. A pause is logged.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -43,7 +43,7 @@
 	sweepInterval = 500 * time.Millisecond
 	// maxSweptFlows bounds the flows that one sweep of a table visits.
 	maxSweptFlows = 4000
-	// pauseThreshold is the time between two ticks above which the process counts as having been paused.
+	// pauseThreshold is the time between two events above which the process counts as having been paused.
 	pauseThreshold = 700 * time.Millisecond
 	tickInterval   = 100 * time.Millisecond
 	// loadCheckInterval is how often the agent checks for a changed number of pending requests: about one service time.
@@ -113,7 +113,8 @@
 	waitTimes *logs.Histogram
 	// tableCompleteAt is when the flow table begins to hold all flows of the server.
 	tableCompleteAt time.Time
-	lastTick        time.Time
+	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
+	lastRunAt time.Time
 	// refusalReason is the reason that was published last.
 	refusalReason server.Reason
 	openFlows     int
@@ -129,7 +130,7 @@
 		serverOpts.ObservedSince = now
 	}
 	a := &Agent{
-		opts: opts, counters: new(expvar.Map), startedAt: now, lastTick: now,
+		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now,
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
@@ -219,6 +220,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.compensatePause(now)
 	restarts := a.server.Restarts()
 	change, err := a.server.RecordHeartbeat(hb, now)
 	if err != nil {
@@ -268,19 +270,26 @@
 	a.opts.Cluster.TriggerHeartbeat()
 }
 
-// tick compensates for pauses of the process and handles timeouts of heartbeats and requests.
+// tick handles timeouts of heartbeats and requests.
 func (a *Agent) tick() {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if gap := now.Sub(a.lastTick); gap > pauseThreshold {
-		a.server.CompensatePause(gap)
-	}
-	a.lastTick = now
+	a.compensatePause(now)
 	a.updateReadiness(now)
 	a.expireRequests(now)
 }
 
+// compensatePause extends the server's timeouts if the process has been paused. Each event calls it first: after a pause,
+// packets may be handled before the next tick, and the server would count as dead.
+func (a *Agent) compensatePause(now time.Time) {
+	if gap := now.Sub(a.lastRunAt); gap > pauseThreshold {
+		a.server.CompensatePause(gap)
+		a.opts.Log.Info("process was paused", zap.Duration("gap", gap))
+	}
+	a.lastRunAt = now
+}
+
 // reportLoad publishes the load to nearby entries when the number of pending requests has changed by at least the number
 // of the server's slots.
 func (a *Agent) reportLoad() {
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -32,6 +32,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.compensatePause(now)
 	switch header.Kind {
 	case encap.Query:
 		a.handleQuery(from, body, now)
@@ -213,6 +214,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.compensatePause(now)
 	a.server.RecordPacket(now)
 	if h.Bounced {
 		a.opts.Codec.Restore(b[encap.HeaderSize:])
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -56,6 +56,23 @@
 	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
 }
 
+// After a pause of the process, packets may be handled before the next tick. Heartbeats that were missed meanwhile must not
+// count against the server, whose flows would be reset.
+func TestPauseOfAgentKeepsFlowsBeforeNextTick(t *testing.T) {
+	const pause = 10 * time.Second
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(4, ack)
+	env.Equal(env.read(env.client), []byte{4})
+	env.agent.lastRunAt = env.agent.lastRunAt.Add(-pause)
+	env.agent.server.CompensatePause(-pause) // Heartbeats and packets are as old as the last event.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.read(env.server), []byte{6})
+	env.Equal(env.read(env.client), nil) // No reset.
+	env.Equal(env.verdict(), seek.Held)
+}
+
 // unknownFlowVerdict returns the agent's verdict on a flow that it has never seen.
 func (env *testEnv) unknownFlowVerdict() seek.Verdict {
 	env.agent.mu.Lock()
