--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -247,11 +247,11 @@
 	return nil
 }
 
-// HandleShutdown processes the shutdown notice of the backend server id and resets its flows.
-func (a *Agent) HandleShutdown(id string) {
+// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
+func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.server.RecordShutdown(id) {
+	if a.server.RecordShutdown(id, receivedAt) {
 		a.resetFlows(func(*flowState) bool { return true }, "the server has left")
 		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
 		a.updateReadiness(time.Now())
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -363,9 +363,9 @@
 	env.openFlow()
 	env.receiveFromServer(5, flow.Header{Ack: true, Seq: 7, Len: 50})
 	env.Equal(env.read(env.client), []byte{5})
-	env.agent.HandleShutdown("i-0")
+	env.agent.HandleShutdown("i-0", time.Now())
 	env.Equal(env.read(env.client), nil)
-	env.agent.HandleShutdown("i-1")
+	env.agent.HandleShutdown("i-1", time.Now())
 	env.Equal(env.read(env.client), []byte{'R', 57})
 }
 
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -136,6 +136,7 @@
 		s.restarts++
 	}
 	s.left = false
+	s.firstHeartbeatAt = now
 	s.unansweredOpens = 0
 	s.lastPacketAt = now
 	s.meanServiceTime, s.samples, s.minHealthCheckTime = 0, 0, 0
@@ -169,9 +170,10 @@
 	return hb.StartedAt.After(t) && hb.maxAge(interval) < now.Sub(t)
 }
 
-// RecordShutdown records the shutdown notice of the server id. It reports whether id is the server of the last heartbeat.
-func (s *Server) RecordShutdown(id string) bool {
-	if !s.known || s.last.ID != id {
+// RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
+// of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
+func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
+	if !s.known || s.last.ID != id || s.firstHeartbeatAt.After(receivedAt) {
 		return false
 	}
 	s.left = true
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -50,7 +50,9 @@
 	restarts        int
 	last            Heartbeat
 	lastHeartbeatAt time.Time
-	coldUntil       time.Time
+	// firstHeartbeatAt is when the first heartbeat of the current start came.
+	firstHeartbeatAt time.Time
+	coldUntil        time.Time
 	// replaced is the last heartbeat before one with an earlier StartedAt was accepted. It may be of the running server.
 	replaced Heartbeat
 
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -207,3 +207,17 @@
 	mustRecordHeartbeat(t, s, current, epoch.Add(10*interval))
 	is.Equal(s.Restarts(), 1)
 }
+
+// A shutdown notice that is processed after the server has started again under the same id must not reset the flows of the
+// new start.
+func TestShutdownNoticeOfEarlierStartIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(9), epoch)
+	again := heartbeat(1)
+	again.StartedAt = epoch.Add(20 * time.Second)
+	mustRecordHeartbeat(t, s, again, epoch.Add(20*time.Second))
+	is.True(!s.RecordShutdown("i-1", epoch.Add(19*time.Second)))
+	is.True(!s.IsDead(epoch.Add(20 * time.Second)))
+	is.True(s.RecordShutdown("i-1", epoch.Add(21*time.Second)))
+}
