relay: the parts of a flow list are identified, not counted

Callers of open flows would see a reset.

Cause: a list reply counted as complete when as many datagrams had come as it has parts. One that arrives twice stood for one that was lost, and all flows in the lost part counted as denied. The exhaustive flag and the configuration version were those of the last part to arrive, so one part that denies nothing, or an older one, was overridden. Parts of two replies to a request that arrived twice were counted together. All three need a datagram that the network duplicates or, for the flags, a reply during which the agent changes its state.

Fix: a list is complete when each index has arrived and all parts tell the same total; it is exhaustive if all parts are, under the lowest version of them.

Not covered: two replies with the same number of parts can still complete each other. Their keys differ in order, so a key may be missing; this needs a request that is duplicated and a loss in each of both replies.

--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -50,10 +50,13 @@
 type flowList struct {
 	requestedAt time.Time
 	requestID   uint64
-	// partsReceived counts the datagrams of the reply received so far; complete is set once all have arrived.
-	partsReceived int
-	complete      bool
-	// exhaustive means that the backend server holds only the listed flows. version is the agent's configuration version.
+	// parts has the indexes of the datagrams of the reply received so far, of a total number that each of them tells. mixed
+	// means that these numbers differ, so that the parts are of two replies. complete is set once all parts have arrived.
+	parts           map[uint16]struct{}
+	total           uint16
+	mixed, complete bool
+	// exhaustive means that the backend server holds only the listed flows. version is the agent's configuration version,
+	// the lowest one of all parts.
 	exhaustive bool
 	version    uint64
 	keys       map[flow.Key]struct{}
@@ -66,6 +69,21 @@
 	return list.complete && list.exhaustive && list.version >= version && !listed
 }
 
+// addPart records the arrival of a part. The list is only as good as each of its parts: the agent may have changed while it
+// sent them, or have replied twice.
+func (list *flowList) addPart(part encap.ListPart, header encap.Header) {
+	exhaustive := header.Hops&encap.Exhaustive != 0
+	if len(list.parts) == 0 {
+		list.parts = make(map[uint16]struct{}, part.Total)
+		list.total, list.exhaustive, list.version = part.Total, exhaustive, header.Version
+	}
+	list.parts[part.Index] = struct{}{}
+	list.mixed = list.mixed || part.Total != list.total || part.Index >= part.Total
+	list.exhaustive = list.exhaustive && exhaustive
+	list.version = min(list.version, header.Version)
+	list.complete = !list.mixed && len(list.parts) == int(list.total)
+}
+
 const (
 	// minListInterval is the minimum time between two list requests to the same agent.
 	minListInterval = 400 * time.Millisecond
@@ -86,9 +104,7 @@
 		list.keys[key] = struct{}{}
 		r.handleListedFlow(agent, key, header, now)
 	}
-	list.partsReceived++
-	list.complete = list.partsReceived == int(part.Total)
-	list.exhaustive, list.version = header.Hops&encap.Exhaustive != 0, header.Version
+	list.addPart(part, header)
 	if !list.complete {
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -360,3 +360,46 @@
 	tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
 	tr.True(!tr.receivesReset())
 }
+
+// A part of a list that arrives twice must not stand for one that was lost: flows in the lost part would be reset.
+func TestDuplicatePartDoesNotCompleteList(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held})
+	requestID := tr.relay.lists[ptest.Addr(tr.agentA)].requestID
+	other := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	for range 2 {
+		tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held},
+			encap.ListPart{RequestID: requestID, Total: 2}, other)
+	}
+	tr.True(!tr.receivesReset())
+	tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+}
+
+// The parts of a list must agree. A part that isn't exhaustive, or was sent under an older configuration, means that the
+// parts are of two replies, and flows that the list lacks must not be reset.
+func TestListIsExhaustiveOnlyIfAllPartsAre(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	list := tr.relay.lists[ptest.Addr(tr.agentA)]
+	tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Version: 4, Verdict: seek.Held},
+		encap.ListPart{RequestID: list.requestID, Total: 2})
+	tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Version: 5, Hops: encap.Exhaustive, Verdict: seek.Held},
+		encap.ListPart{RequestID: list.requestID, Index: 1, Total: 2})
+	tr.True(list.complete)
+	tr.True(!list.denies(key, 4))
+	tr.Equal(list.version, uint64(4))
+}
+
+// Two replies to one request, as after the request arrived twice, may have different numbers of parts. Parts of both must
+// not make a complete list.
+func TestPartsOfTwoRepliesDoNotCompleteList(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	list := tr.relay.lists[ptest.Addr(tr.agentA)]
+	for i, total := range []uint16{3, 2} {
+		tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held},
+			encap.ListPart{RequestID: list.requestID, Index: uint16(i), Total: total})
+	}
+	tr.True(!list.complete)
+}
