relay: searches expire while they are paused

Callers of open flows would see a reset, or no response at all.

Cause: a search that waits for its client's next packet was removed only by a step that runs more than 5 s after its start. If no packet came it stayed for good. Its verdicts were then reused however old they were: if the key came back for a flow opened since, agents counted as having denied it. And a search that was removed at the age of 5 s forgot its probes, so that the next one could probe two more servers within the 2.5 s in which two are the limit.

Evidence: on the old code TestAbandonedSearchIsRemoved (one search left) and TestOldVerdictsDoNotDenyFlow (the flow was reset) failed.

A packet that meets a paused search older than that starts a new one, which counts the earlier probes.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -161,11 +161,13 @@
 	}
 }
 
-// sweep removes expired flows from the table.
+// sweep removes expired flows from the table, and abandoned searches.
 func (r *Relay) sweep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.flows.Sweep(time.Now(), maxSweptFlows, func(flow.Key, *flowState) { r.counters.Add("flow_expired", 1) })
+	now := time.Now()
+	r.flows.Sweep(now, maxSweptFlows, func(flow.Key, *flowState) { r.counters.Add("flow_expired", 1) })
+	r.sweepSearches(now)
 }
 
 func (r *Relay) serveClients() error {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -403,3 +403,50 @@
 	}
 	tr.True(!list.complete)
 }
+
+// A search whose client sends no further packet must end: entries would run out of searches and find no flow any more.
+func TestAbandonedSearchIsRemoved(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	tr.pauseSearch(searchLifetime + time.Second)
+	tr.relay.sweep()
+	tr.Equal(len(tr.relay.searches), 0)
+}
+
+// A search that was paused for longer than its verdicts are valid must not deny a flow of the same key that was opened since.
+func TestOldVerdictsDoNotDenyFlow(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	tr.relay.searches[key].RecordVerdict(ptest.Addr(tr.agentA), seek.Denied)
+	tr.pauseSearch(searchLifetime + time.Second)
+	tr.sendFromClient(2, ack)
+	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held})
+	tr.True(!tr.receivesReset())
+	tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+}
+
+// Probes of wrong servers break a flow, so a search that replaces an older one must not probe more servers than one search may.
+func TestReplacedSearchCountsEarlierProbes(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.possibleHolders = append(tr.cluster.possibleHolders, seek.Candidate{Agent: netip.MustParseAddrPort("127.0.0.1:9")})
+	tr.sendFromClient(1, ack)
+	for _, want := range []seek.Action{seek.Probe, seek.Drop} {
+		s := tr.relay.searches[key]
+		for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+			s.RecordVerdict(ptest.Addr(c), seek.Perhaps)
+		}
+		tr.Equal(s.Next(time.Now().Add(30*time.Millisecond)).Action, want) // The third agent has not replied in time.
+		tr.pauseSearch(searchLifetime + time.Second)
+		tr.sendFromClient(1, ack)
+		tr.True(tr.relay.searches[key] != s)
+	}
+}
+
+// pauseSearch pauses the search, whose age is then age.
+func (tr *testRelay) pauseSearch(age time.Duration) {
+	tr.relay.mu.Lock()
+	defer tr.relay.mu.Unlock()
+	s, now := tr.relay.searches[key], time.Now()
+	tr.relay.pauseSearch(s, now)
+	s.startedAt, s.pausedAt = now.Add(-age), now.Add(-age)
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -22,7 +22,8 @@
 	// maxAgentsOfAllServices bounds the agents queried after those of the route's services have denied a flow. In a
 	// larger deployment such a flow is not reset.
 	maxAgentsOfAllServices = 256
-	// searchLifetime is how long an unsuccessful search is kept. Its verdicts are reused for that time.
+	// searchLifetime is how long the verdicts of an unsuccessful search are reused. A search that was paused for that time is
+	// removed.
 	searchLifetime = 5 * time.Second
 )
 
@@ -39,13 +40,20 @@
 	timer   *time.Timer
 	// allServices is set if the agents of all services are queried, not only those of the route's services.
 	allServices bool
-	// paused is set while the search waits for the client's next packet.
-	paused bool
+	// paused is set while the search waits for the client's next packet, since pausedAt.
+	paused   bool
+	pausedAt time.Time
 }
 
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
 func (r *Relay) findHolder(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	s := r.searches[key]
+	if s != nil && s.expired(now) {
+		earlier := s
+		s = r.newSearch(rt, now)
+		s.CountProbesOf(earlier.Search)
+		r.searches[key] = s
+	}
 	if s == nil {
 		if len(r.searches) >= maxSearches {
 			r.counters.Add("search_dropped", 1)
@@ -121,7 +129,7 @@
 		}
 		r.handleLost(key, s, now)
 	case seek.Drop:
-		r.pauseSearch(key, s, now)
+		r.pauseSearch(s, now)
 	}
 }
 
@@ -130,7 +138,7 @@
 func (r *Relay) searchAllServices(key flow.Key, s *search, now time.Time) {
 	all, ok := r.opts.Cluster.AllAgents(maxAgentsOfAllServices)
 	if !ok {
-		r.pauseSearch(key, s, now)
+		r.pauseSearch(s, now)
 		return
 	}
 	s.allServices = true
@@ -146,13 +154,23 @@
 	r.step(key, s, now)
 }
 
-// pauseSearch drops the queued packets and waits for the client's next one, which resumes the search. It removes a search
-// older than searchLifetime.
-func (r *Relay) pauseSearch(key flow.Key, s *search, now time.Time) {
+// pauseSearch drops the queued packets and waits for the client's next one, which resumes the search.
+func (r *Relay) pauseSearch(s *search, now time.Time) {
 	r.counters.Add("search_failed", 1)
-	s.packets, s.paused = nil, true
-	if now.Sub(s.startedAt) > searchLifetime {
-		delete(r.searches, key)
+	s.packets, s.paused, s.pausedAt = nil, true, now
+}
+
+// expired reports whether a search is paused and too old for its verdicts to be reused.
+func (s *search) expired(now time.Time) bool {
+	return s.paused && now.Sub(s.startedAt) > searchLifetime
+}
+
+// sweepSearches removes the searches whose clients have sent no packet for searchLifetime.
+func (r *Relay) sweepSearches(now time.Time) {
+	for key, s := range r.searches {
+		if s.paused && now.Sub(s.pausedAt) > searchLifetime {
+			r.removeSearch(key, s)
+		}
 	}
 }
 
@@ -266,7 +284,7 @@
 	if f := r.flows.Peek(key); f != nil && f.agent == agent {
 		r.flows.Delete(key)
 	}
-	if s := r.searches[key]; s != nil {
+	if s := r.searches[key]; s != nil && !s.expired(now) {
 		s.RecordVerdict(agent, seek.Denied)
 		r.advance(key, s, now)
 		return
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -96,6 +96,11 @@
 	return s
 }
 
+// CountProbesOf counts the probes of an earlier search for the same flow towards the limit on blind probes.
+func (s *Search) CountProbesOf(earlier *Search) {
+	s.probeTimes = append(s.probeTimes, earlier.probeTimes...)
+}
+
 // Extend adds the candidates that are not part of the search yet and restarts the reply timeout.
 func (s *Search) Extend(more []Candidate, now time.Time) {
 	queried := make(map[netip.AddrPort]bool, len(s.candidates))
