relay: packets of open flows aren't reset for a missing route

Callers of a flow on a new route could see a reset though its server is sound.

Evidence: on the old code TestOpenFlowWithoutRouteIsNotReset failed (a reset came).

Fix: only a SYN is reset; its flow isn't open. Other packets are dropped. The client's retransmission finds the route, or the route has been removed, and no response is as good as a reset.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -236,16 +236,19 @@
 	return estimator
 }
 
-// rejectUnrouted resets the flow of a packet whose destination has no route. If the configuration is older than
-// maxConfigAge, it may lack a new route: the packet is dropped and the configuration is refreshed.
+// rejectUnrouted resets the flow of a SYN whose destination has no route. If the configuration is older than maxConfigAge,
+// it may lack a new route: the packet is dropped and the configuration is refreshed. Packets of open flows are always
+// dropped, since an entry with a newer configuration may have opened their flow.
 func (r *Relay) rejectUnrouted(h flow.Header) {
 	age := r.opts.Cluster.ConfigAge()
 	if age > maxConfigAge {
 		r.opts.Cluster.RefreshConfig()
+	}
+	if age > maxConfigAge || !h.Opens() {
 		r.counters.Add("unrouted_kept_silent", 1)
 		return
 	}
-	r.opts.FlowLog.Info("packet reset: no route", zap.Stringer("flow", h.KeyFromClient()), zap.Bool("opens", h.Opens()),
+	r.opts.FlowLog.Info("packet reset: no route", zap.Stringer("flow", h.KeyFromClient()),
 		zap.Uint64("version", configVersion(r.opts.Cluster.Table())), zap.Duration("age", age))
 	r.counters.Add("reset_unrouted", 1)
 	r.reset(h)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -450,3 +450,11 @@
 	tr.relay.pauseSearch(s, now)
 	s.startedAt, s.pausedAt = now.Add(-age), now.Add(-age)
 }
+
+// An entry whose configuration lacks a new route must not reset flows that were opened on it through another entry.
+func TestOpenFlowWithoutRouteIsNotReset(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.table = route.NewTable(6, nil, time.Second)
+	tr.sendFromClient(1, ack)
+	tr.True(!tr.receivesReset())
+}
