deliv: a saved flow list of a later start isn't reset

Callers of open flows would see a reset of all flows that were saved.

Cause: a restarted agent compares the saved list with the server's heartbeat, and resets the list's flows if the two are of different starts. It took the list for the earlier one. If the first heartbeat is a delayed one of an earlier start, the list is that of the running server.

Evidence: on the old code TestSavedListOfLaterStartIsNotReset failed: the list was discarded and its flow reset.

Fix: the flows are reset only if the heartbeat's start is later than the list's. After the server's clock was set back its lost flows then stay until the server bounces their packets.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -230,7 +230,7 @@
 }
 
 // tryRestore restores the flows of a list, or resets them if the server has started again since. It returns false as long
-// as no heartbeat of the server has come.
+// as no heartbeat of the list's start of the server, or of a later one, has come.
 func (a *Agent) tryRestore(s savedFlowList) bool {
 	now := time.Now()
 	a.mu.Lock()
@@ -245,7 +245,11 @@
 			zap.Int("ends", len(s.NextSeqs)))
 		return true
 	}
-	if hb.ID != s.ServerID || hb.StartedAt.UnixNano() != s.ServerStartedAt {
+	sameStart := hb.ID == s.ServerID && hb.StartedAt.UnixNano() == s.ServerStartedAt
+	if !sameStart && hb.StartedAt.UnixNano() <= s.ServerStartedAt {
+		return false // The heartbeat may be a delayed one, and the list of the running server.
+	}
+	if !sameStart {
 		a.opts.Log.Info("flows of an earlier start of the server are lost", zap.Int("flows", len(keys)), zap.String("id", hb.ID),
 			zap.String("saved", s.ServerID))
 		for i, k := range keys {
@@ -255,18 +259,23 @@
 		}
 		return true
 	}
+	a.restoreFlows(keys, s.NextSeqs, route.ServiceID(hb.Service), now)
+	a.opts.Log.Info("flows restored", zap.Int("flows", len(keys)), zap.String("id", hb.ID))
+	return true
+}
+
+// restoreFlows adds flows of a saved list to the table as open flows.
+func (a *Agent) restoreFlows(keys []flow.Key, nextSeqs []uint32, service uint64, now time.Time) {
 	for i, k := range keys {
 		if f := a.flows.Peek(k); f == nil || f.phase == phaseProbing {
 			if f != nil {
 				a.removeFlow(k)
 			}
 			f = a.flows.Put(k, flowState{
-				serverRestarts: a.server.Restarts(), service: route.ServiceID(hb.Service), firstSeen: now, responseSeen: true, saved: true,
-				serverNextSeq: s.NextSeqs[i],
+				serverRestarts: a.server.Restarts(), service: service, firstSeen: now, responseSeen: true, saved: true,
+				serverNextSeq: nextSeqs[i],
 			}, now)
 			a.setPhase(f, phaseOpen)
 		}
 	}
-	a.opts.Log.Info("flows restored", zap.Int("flows", len(keys)), zap.String("id", hb.ID))
-	return true
 }
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
@@ -79,3 +81,23 @@
 	defer env.agent.mu.Unlock()
 	return env.agent.verdict(flow.NewKey(service, client), time.Now())
 }
+
+// A delayed heartbeat of an earlier start must not let the saved list of the running server pass for one of an earlier start:
+// all flows of the server would be reset.
+func TestSavedListOfLaterStartIsNotReset(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.agent.SaveFlowList()
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+
+	successor := newTestEnv(t, false)
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-0", startedAt.Add(-time.Minute) })
+	successor.True(!successor.agent.tryRestore(saved)) // The list may be of a later start, whose heartbeats follow.
+	successor.Equal(successor.read(successor.client), nil)
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	successor.True(successor.agent.tryRestore(saved))
+	successor.Equal(successor.verdict(), seek.Held)
+}
