deliv: a flow list marks only the flows in it as saved

After a restart of an agent, its open flows were searched for and probed at other servers more often than needed; callers would see delays.

Cause: a list leaves out flows younger than a second, but marked them as saved. They were then written only once a tenth of the flows were newer ones. No conclusion is drawn from a flow's absence in a restored list, so none was reset by this.

Evidence: on the old code TestYoungFlowIsSavedLater failed: no list was due.

Fix: only the flows in the list are marked. The limits of one save in 6 s and of a tenth of the flows hold as before.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -164,6 +164,7 @@
 		return nil, false
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
+	var included []*flowState
 	unsaved := 0
 	a.flows.Each(func(k flow.Key, f *flowState) {
 		if f.phase != phaseOpen || f.serverRestarts != a.server.Restarts() || (!final && now.Sub(f.firstSeen) < minSaveAge) {
@@ -171,15 +172,17 @@
 		}
 		s.Keys = k.Append(s.Keys)
 		s.NextSeqs = append(s.NextSeqs, f.serverNextSeq)
+		included = append(included, f)
 		if !f.saved {
 			unsaved++
 		}
 	})
-	n := len(s.Keys) / flow.KeySize
-	if unsaved == 0 || (!final && float64(unsaved) < minUnsavedFraction*float64(n)) {
+	if unsaved == 0 || (!final && float64(unsaved) < minUnsavedFraction*float64(len(included))) {
 		return nil, false
 	}
-	a.flows.Each(func(_ flow.Key, f *flowState) { f.saved = true })
+	for _, f := range included {
+		f.saved = true
+	}
 	b, err := cbor.Marshal(s)
 	if err != nil {
 		a.opts.Log.Error("can't encode the list of flows", zap.Error(err))
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -1,6 +1,7 @@
 package deliv
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -101,3 +102,23 @@
 	successor.True(successor.agent.tryRestore(saved))
 	successor.Equal(successor.verdict(), seek.Held)
 }
+
+// The first save must leave out young flows without marking them as saved, or the list would lack them until the server has
+// many newer ones.
+func TestYoungFlowIsSavedLater(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	young := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.flows.Put(young, flowState{phase: phaseOpen, firstSeen: time.Now()}, time.Now())
+	env.agent.flows.Peek(flow.NewKey(client, service)).firstSeen = time.Now().Add(-minSaveAge)
+	_, changed := env.agent.encodeFlowList(false)
+	env.True(changed)
+	env.agent.flows.Peek(young).firstSeen = time.Now().Add(-minSaveAge)
+	list, changed := env.agent.encodeFlowList(false)
+	env.True(changed)
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(list, &saved))
+	env.Equal(len(saved.NextSeqs), 2)
+}
