deliv: a server's restart doesn't reset flows that it opened before its first heartbeat

Callers of flows that were just opened would see a reset though their server is sound.

Cause: a server that starts again after a crash accepts flows at once, and the agent still takes it for its earlier start until the first heartbeat has come. That heartbeat then reset all flows, those of the new start too.

Evidence: on the old code TestFlowOpenedBeforeFirstHeartbeatOfRestartIsKept failed: the new flow was reset too.

Fix: flows that the agent first saw after the server's start are assigned to the new start. The start is the later one of the heartbeat's start time and of the bound by the number of heartbeats, so that a clock that is wrong by much doesn't keep old flows. A flow that is kept wrongly is reset when the server bounces its next packet.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -231,6 +231,7 @@
 		if restarted || hb.IsNew(now, a.opts.HeartbeatInterval) || hb.StartedSince(a.startedAt, now, a.opts.HeartbeatInterval) {
 			a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
 		}
+		a.keepFlowsSince(hb.EarliestStart(now, a.opts.HeartbeatInterval))
 		a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 		select {
 		case a.serverStarted <- struct{}{}:
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -257,6 +257,16 @@
 	a.send(a.opts.EncapConn, header.AppendWithKey(buf[:0], key), f.entry)
 }
 
+// keepFlowsSince assigns the flows that were first seen after start to the latest start of the server: it accepts flows before
+// its first heartbeat, while the agent takes it for the earlier start.
+func (a *Agent) keepFlowsSince(start time.Time) {
+	a.flows.Each(func(_ flow.Key, f *flowState) {
+		if f.firstSeen.After(start) {
+			f.serverRestarts = a.server.Restarts()
+		}
+	})
+}
+
 // resetFlows resets the flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
 // one would be lost, and would fail if it must not be repeated.
 func (a *Agent) resetFlows(lost func(*flowState) bool, reason string) {
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -122,3 +122,22 @@
 	env.NoErr(cbor.Unmarshal(list, &saved))
 	env.Equal(len(saved.NextSeqs), 2)
 }
+
+// A server that starts again accepts flows before its first heartbeat, while the agent takes it for the earlier start. That
+// heartbeat must reset only the flows of the earlier start.
+func TestFlowOpenedBeforeFirstHeartbeatOfRestartIsKept(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	lost := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.flows.Put(lost, flowState{phase: phaseOpen, firstSeen: time.Now().Add(-time.Minute), serverNextSeq: 9}, time.Now())
+	restartedAt := time.Now().Add(-time.Second)
+	env.openFlow()
+	env.receiveFromServer(4, ack)
+	env.Equal(env.read(env.client), []byte{4})
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", restartedAt })
+	env.Equal(env.read(env.client), []byte{'R', 9})
+	env.Equal(env.read(env.client), nil) // Only one reset.
+	env.Equal(env.verdict(), seek.Held)
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.read(env.server), []byte{6})
+}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -170,6 +170,16 @@
 	return hb.StartedAt.After(t) && hb.maxAge(interval) < now.Sub(t)
 }
 
+// EarliestStart returns the earliest time at which the server may have started, by its start time, which is of a clock that
+// the server shares, and by the number of its heartbeats.
+func (hb *Heartbeat) EarliestStart(now time.Time, interval time.Duration) time.Time {
+	earliest := now.Add(-hb.maxAge(interval))
+	if hb.StartedAt.After(earliest) {
+		return hb.StartedAt
+	}
+	return earliest
+}
+
 // RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
 // of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
 func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -221,3 +221,11 @@
 	is.True(!s.IsDead(epoch.Add(20 * time.Second)))
 	is.True(s.RecordShutdown("i-1", epoch.Add(21*time.Second)))
 }
+
+// The start time counts unless the number of heartbeats shows that the server is younger.
+func TestEarliestStart(t *testing.T) {
+	is := is.New(t)
+	hb := heartbeat(1)
+	is.Equal(hb.EarliestStart(afterStart(time.Second), interval), epoch)
+	is.Equal(hb.EarliestStart(afterStart(time.Minute), interval), afterStart(56*time.Second)) // The clock was set ahead.
+}
