--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -70,6 +70,11 @@
 		header.Version = t.Version
 	}
 	a.counters.Add("listed", 1)
+	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "flow list sent"); logEntry != nil {
+		logEntry.Write(zap.Stringer("entry", to), zap.Uint64("request", part.RequestID), zap.Int("held", len(held)),
+			zap.Int("opening", len(opening)), zap.Bool("exhaustive", header.Hops == encap.Exhaustive),
+			zap.Bool("dead", a.server.IsDead(now)), zap.Uint64("version", header.Version))
+	}
 	parts := max(1, (len(held)+encap.MaxKeysPerReply-1)/encap.MaxKeysPerReply)
 	part.Total = uint16(parts + (len(opening)+encap.MaxKeysPerReply-1)/encap.MaxKeysPerReply)
 	header.Verdict = seek.Opening
