deliv: flow lists include the flows that are being probed

Callers of open flows would see a reset about 13 s after a restart of their server's agent, if another entry takes over the flow while its request is queued or runs.

Cause: a restarted agent learns that its server holds a flow from the server's first packet on it. Until then the flow is in the agent's table as probed. The list of flows left it out. That is harmless while the table isn't complete, since the list then denies nothing. Once the idle timeout has passed it is complete, and the list denied the flow: its client was reset. A query for the single flow was answered right.

Evidence: on the old code TestListIncludesProbedFlows failed: the list, exhaustive, had no keys, while the reply to a query was "perhaps".

Fix: probed flows are listed as ones that the server perhaps holds; entries probe that server, which holds or bounces the packet.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -51,16 +51,19 @@
 	NextSeqs []uint32 `cbor:"4,keyasint"`
 }
 
-// sendFlowList sends an entry the keys of all open and opening flows, in as many datagrams as needed.
+// listedFlows are the keys of the server's flows, by what an entry must do with their packets.
+type listedFlows struct{ held, opening, probing []flow.Key }
+
+// sendFlowList sends an entry the keys of all open, opening and probed flows, in as many datagrams as needed.
 func (a *Agent) sendFlowList(to netip.AddrPort, body []byte, now time.Time) {
 	part, _, err := encap.ParseListPart(body)
 	if err != nil {
 		a.counters.Add("hop_damaged", 1)
 		return
 	}
-	var held, opening []flow.Key
+	var listed listedFlows
 	if !a.server.IsDead(now) {
-		held, opening = a.flowKeys()
+		listed = a.listFlows()
 	}
 	header := encap.Header{Kind: encap.ListReply, Service: route.ServiceID(a.serviceName())}
 	if a.tableComplete(now) {
@@ -71,35 +74,52 @@
 	}
 	a.counters.Add("listed", 1)
 	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "flow list sent"); logEntry != nil {
-		logEntry.Write(zap.Stringer("entry", to), zap.Uint64("request", part.RequestID), zap.Int("held", len(held)),
-			zap.Int("opening", len(opening)), zap.Bool("exhaustive", header.Hops == encap.Exhaustive),
-			zap.Bool("dead", a.server.IsDead(now)), zap.Uint64("version", header.Version))
-	}
-	parts := max(1, (len(held)+encap.MaxKeysPerReply-1)/encap.MaxKeysPerReply)
-	part.Total = uint16(parts + (len(opening)+encap.MaxKeysPerReply-1)/encap.MaxKeysPerReply)
-	header.Verdict = seek.Opening
-	for ; len(opening) > 0; part.Index++ {
-		opening = a.sendKeys(header, part, opening, to)
+		logEntry.Write(zap.Stringer("entry", to), zap.Uint64("request", part.RequestID), zap.Int("held", len(listed.held)),
+			zap.Int("opening", len(listed.opening)), zap.Int("probing", len(listed.probing)),
+			zap.Bool("exhaustive", header.Hops == encap.Exhaustive), zap.Bool("dead", a.server.IsDead(now)), zap.Uint64("version", header.Version))
 	}
-	header.Verdict = seek.Held
-	for range parts {
-		held = a.sendKeys(header, part, held, to)
-		part.Index++
+	heldParts := max(1, listParts(listed.held)) // A list without flows has one part too.
+	part.Total = uint16(listParts(listed.opening) + listParts(listed.probing) + heldParts)
+	part.Index += a.sendGroup(header, seek.Opening, part, listed.opening, to)
+	part.Index += a.sendGroup(header, seek.Perhaps, part, listed.probing, to)
+	part.Index += a.sendGroup(header, seek.Held, part, listed.held, to)
+	if part.Index < part.Total {
+		header.Verdict = seek.Held
+		a.sendKeys(header, part, nil, to)
 	}
 }
 
-// flowKeys returns the keys of the open flows and of the opening ones.
-func (a *Agent) flowKeys() (held, opening []flow.Key) {
+// listParts returns the number of datagrams needed for keys.
+func listParts(keys []flow.Key) int {
+	return (len(keys) + encap.MaxKeysPerReply - 1) / encap.MaxKeysPerReply
+}
+
+// listFlows returns the keys of all flows that the server holds or may hold.
+func (a *Agent) listFlows() listedFlows {
+	var listed listedFlows
 	a.flows.Each(func(k flow.Key, f *flowState) {
 		switch {
+		case f.phase == phaseProbing:
+			listed.probing = append(listed.probing, k)
 		case f.serverRestarts != a.server.Restarts():
 		case f.phase == phaseOpen:
-			held = append(held, k)
+			listed.held = append(listed.held, k)
 		case f.phase == phaseOpening:
-			opening = append(opening, k)
+			listed.opening = append(listed.opening, k)
 		}
 	})
-	return held, opening
+	return listed
+}
+
+// sendGroup sends the keys of flows with one verdict, from the index of part on, and returns the number of datagrams.
+func (a *Agent) sendGroup(header encap.Header, verdict seek.Verdict, part encap.ListPart, keys []flow.Key, to netip.AddrPort) uint16 {
+	header.Verdict = verdict
+	sent := uint16(0)
+	for ; len(keys) > 0; sent++ {
+		keys = a.sendKeys(header, part, keys, to)
+		part.Index++
+	}
+	return sent
 }
 
 // sendKeys sends as many keys as fit into one datagram and returns the rest.
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 	"github.com/bergamotrun/bergamotrun/internal/server"
 )
@@ -141,3 +142,28 @@
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
 	env.Equal(env.read(env.server), []byte{6})
 }
+
+// A flow that is being probed must be listed. Once the table counts as complete, the list denies all other flows, and entries
+// would reset this one while its server works on a request.
+func TestListIncludesProbedFlows(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 4, request)
+	env.Equal(env.read(env.server), []byte{4})
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	env.agent.tableCompleteAt = time.Now()
+	env.Equal(env.agent.verdict(flow.NewKey(client, service), time.Now()), seek.Perhaps)
+	env.agent.sendFlowList(ptest.Addr(env.entry), encap.ListPart{RequestID: 9}.Append(nil), time.Now())
+	header, body, err := encap.Parse(env.read(env.entry))
+	env.NoErr(err)
+	part, keys, err := encap.ParseListPart(body)
+	env.NoErr(err)
+	env.Equal(header.Hops, uint8(encap.Exhaustive))
+	env.Equal(keys, []flow.Key{flow.NewKey(client, service)})
+	env.Equal(header.Verdict, seek.Perhaps)
+	env.Equal(part, encap.ListPart{RequestID: 9, Total: 2})
+	header, _, err = encap.Parse(env.read(env.entry))
+	env.NoErr(err)
+	env.Equal(header.Verdict, seek.Held)
+}
