relay: a test that a flow listed as perhaps held is probed

TestProbedFlowInListIsNotReset is the entry's side of TestListIncludesProbedFlows: it passes since lists name probed flows, which the entry handled right before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -458,3 +458,16 @@
 	tr.sendFromClient(1, ack)
 	tr.True(!tr.receivesReset())
 }
+
+// A flow that an exhaustive list names as perhaps held must be probed and not reset.
+func TestProbedFlowInListIsNotReset(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	requestID := tr.relay.lists[ptest.Addr(tr.agentA)].requestID
+	tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Perhaps}, encap.ListPart{RequestID: requestID, Total: 2}, key)
+	tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held}, encap.ListPart{RequestID: requestID, Index: 1, Total: 2})
+	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held})
+	tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Probe)
+	tr.True(!tr.receivesReset())
+}
