deliv: the end of a server resets only flows that are open at it

Callers of open flows would see a reset though their server is sound.

Cause: a client sends up to three copies of its SYN, which may reach several servers, and the flow opens at one of them. The agents of the others keep it as opening until it times out. If one of these servers restarted, left or counted as dead, its agent reset its opening flows too. That reset carries the sequence number of the wrong server. But a packet of the flow that an entry sent there was answered by a reset with the client's own number, which the client accepts. An entry sends it there if it sent that copy of the SYN, and the flow's packets came through another entry until then.

Evidence: on the old code TestRestartOfServerThatWasNotChosenKeepsFlow (a reset came) and TestDeathOfServerThatWasNotChosenKeepsFlow (the packet wasn't returned) failed.

Fix: opening flows are removed without a reset, and packets of flows that aren't known to be open at the ended server are returned to the entry, which searches for the holder. If there is none, the entry resets the flow.

--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -267,15 +267,24 @@
 	})
 }
 
-// resetFlows resets the flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
-// one would be lost, and would fail if it must not be repeated.
+// resetFlows resets the open flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
+// one would be lost, and would fail if it must not be repeated. Opening flows are removed only: they may be open at another
+// server, which took a copy of the SYN.
 func (a *Agent) resetFlows(lost func(*flowState) bool, reason string) {
-	var keys []flow.Key
+	var keys, opening []flow.Key
 	a.flows.Each(func(k flow.Key, f *flowState) {
-		if (f.phase == phaseOpen || f.phase == phaseOpening) && lost(f) {
+		switch {
+		case !lost(f):
+		case f.phase == phaseOpen:
 			keys = append(keys, k)
+		case f.phase == phaseOpening:
+			opening = append(opening, k)
 		}
 	})
+	for _, k := range opening {
+		a.removeFlow(k)
+		a.denied.Put(k, struct{}{}, time.Now())
+	}
 	for _, k := range keys {
 		a.resetFlow(k, a.flows.Peek(k).serverNextSeq)
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -145,6 +145,10 @@
 	f := a.flows.Get(key, now)
 	switch {
 	case f != nil && f.phase != phaseProbing && (f.serverRestarts != a.server.Restarts() || a.server.IsDead(now)):
+		if f.phase != phaseOpen {
+			a.returnToEntry(b, header, from) // The flow may be open at another server, which took a copy of the SYN.
+			return
+		}
 		a.resetLostFlow(key, h, "backend server has ended")
 		return
 	case f == nil && !a.serverMayHold(key, now):
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -167,3 +167,31 @@
 	env.NoErr(err)
 	env.Equal(header.Verdict, seek.Held)
 }
+
+// A client sends copies of its SYN to several servers and opens the flow at one of them. If another one restarts, its agent
+// must not reset the flow, neither at the restart nor when a packet of the flow comes.
+func TestRestartOfServerThatWasNotChosenKeepsFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true})
+	env.Equal(env.read(env.client), []byte{2})
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", time.Now() })
+	env.Equal(env.read(env.client), nil) // No reset.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.readKind(env.entry), encap.Return) // The entry finds the flow's server.
+	env.Equal(env.read(env.client), nil)
+}
+
+// The same holds if the heartbeats of the server that was not chosen are missing, so that it counts as dead.
+func TestDeathOfServerThatWasNotChosenKeepsFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true})
+	env.Equal(env.read(env.client), []byte{2})
+	env.agent.server.CompensatePause(-10 * time.Second) // Heartbeats and packets were long ago.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.readKind(env.entry), encap.Return)
+	env.Equal(env.read(env.client), nil)
+}
