relay: earlier lists deny flows only for agents of other services

Callers of open flows would see a reset, and the log would hide why.

Cause: when the agents of a route's services have denied a flow, the search goes on to all others, and an earlier list of an agent of another service counts, since that agent can't have opened the flow after it. It was counted for every agent that hasn't replied, so also for one of the route's own services whose heartbeats are missing. Its flows opened since were denied, it wasn't queried again, and "flow is lost" named it as denied, which made a missing reply look like a denial.

Evidence: on the old code TestEarlierListOfRouteServiceDoesNotDenyFlow failed: "denied,silent" instead of "unanswered,silent".

Fix: earlier lists count only for agents that the search has just added. One whose heartbeats are missing is queried again together with them. That it counts as having no flows when it doesn't reply is unchanged.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -471,3 +471,18 @@
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Probe)
 	tr.True(!tr.receivesReset())
 }
+
+// An earlier list of an agent of the flow's own service must not deny the flow, which may have been opened since. The log of a
+// lost flow must show that the agent has not replied.
+func TestEarlierListOfRouteServiceDoesNotDenyFlow(t *testing.T) {
+	tr := newTestRelay(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	tr.relay.opts.FlowLog = zap.New(core)
+	tr.cluster.possibleHolders[1].Dead = true
+	tr.sendFromClient(1, ack)
+	tr.relay.lists[ptest.Addr(tr.agentB)] = &flowList{requestedAt: time.Now(), complete: true, exhaustive: true, version: 5, keys: map[flow.Key]struct{}{}}
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held})
+	entries := logs.FilterMessage("flow is lost: no agent holds it").All()
+	tr.Equal(len(entries), 1)
+	tr.Equal(entries[0].ContextMap()["answers"], ptest.Addr(tr.agentA).String()+",denied;"+ptest.Addr(tr.agentB).String()+",unanswered,silent")
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -142,11 +143,13 @@
 		return
 	}
 	s.allServices = true
+	ofRoute := s.Unanswered()
 	s.Extend(all, now)
 	version := configVersion(r.opts.Cluster.Table())
 	for _, agent := range s.Unanswered() {
-		// With this configuration version the agent can't have opened a flow of the route since, so its list is still valid.
-		if list := r.lists[agent]; list != nil && list.denies(key, version) {
+		// With this configuration version an agent of another service can't have opened a flow of the route since, so its list
+		// is still valid.
+		if list := r.lists[agent]; list != nil && list.denies(key, version) && !slices.Contains(ofRoute, agent) {
 			s.RecordVerdict(agent, seek.Denied)
 		}
 	}
