deliv: a pause of the agent doesn't age its flow table

Callers of open flows would see a reset after their server's agent was paused.

Cause: in a pause the agent misses packets. The time of the pause counted towards the idle time of its flows and towards the time after which a restarted agent's table is complete. After a long pause, flows that were in use expired, or were never learned, and the agent denied them.

Evidence: with the old handling of pauses TestPauseOfAgentDoesNotAgeFlowTable failed with "denied != held".

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -115,6 +115,8 @@
 	tableCompleteAt time.Time
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
 	lastRunAt time.Time
+	// pausedFor is the total time of the pauses.
+	pausedFor time.Duration
 	// refusalReason is the reason that was published last.
 	refusalReason server.Reason
 	openFlows     int
@@ -187,7 +189,7 @@
 	}
 	idle := table.Idle + idleMargin
 	a.flows.SetIdleTimeout(idle)
-	if completeAt := a.startedAt.Add(idle); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
+	if completeAt := a.startedAt.Add(idle + a.pausedFor); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
 		a.tableCompleteAt = completeAt
 	}
 }
@@ -281,11 +283,16 @@
 	a.expireRequests(now)
 }
 
-// compensatePause extends the server's timeouts if the process has been paused. Each event calls it first: after a pause,
+// compensatePause extends the timeouts of the server and of its flows if the process has been paused. Each event calls it first: after a pause,
 // packets may be handled before the next tick, and the server would count as dead.
 func (a *Agent) compensatePause(now time.Time) {
 	if gap := now.Sub(a.lastRunAt); gap > pauseThreshold {
 		a.server.CompensatePause(gap)
+		a.flows.ExtendIdleTime(gap)
+		a.pausedFor += gap
+		if a.lastRunAt.Before(a.tableCompleteAt) {
+			a.tableCompleteAt = a.tableCompleteAt.Add(gap)
+		}
 		a.opts.Log.Info("process was paused", zap.Duration("gap", gap))
 	}
 	a.lastRunAt = now
@@ -308,6 +315,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	a.compensatePause(now)
 	a.flows.Sweep(now, maxSweptFlows, func(k flow.Key, f *flowState) {
 		a.counters.Add("flow_expired", 1)
 		a.closeFlow(k, f)
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -195,3 +195,21 @@
 	env.Equal(env.readKind(env.entry), encap.Return)
 	env.Equal(env.read(env.client), nil)
 }
+
+// In a pause the agent misses the packets by which it would learn or keep flows. The pause must not count towards the time
+// after which its table is complete, nor towards the idle time of flows: the agent would deny flows that its server holds.
+func TestPauseOfAgentDoesNotAgeFlowTable(t *testing.T) {
+	const pause = time.Minute
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.verdict(), seek.Held)
+	env.agent.tableCompleteAt = env.agent.tableCompleteAt.Add(-pause)
+	env.agent.flows.ExtendIdleTime(-pause)
+	env.agent.lastRunAt = env.agent.lastRunAt.Add(-pause)
+	env.agent.sweep()
+	env.agent.startedAt = env.agent.startedAt.Add(-pause)
+	env.agent.Configure(env.cluster.table)
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
+}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -24,6 +24,13 @@
 // SetIdleTimeout changes the time after which Sweep removes an unused flow.
 func (t *Table[V]) SetIdleTimeout(idleTimeout time.Duration) { t.idleTimeout = idleTimeout }
 
+// ExtendIdleTime gives all flows that much more time until they count as idle.
+func (t *Table[V]) ExtendIdleTime(d time.Duration) {
+	for _, it := range t.items {
+		it.lastUsed = it.lastUsed.Add(d)
+	}
+}
+
 // Len returns the number of flows.
 func (t *Table[V]) Len() int { return len(t.items) }
 
