--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -43,7 +43,7 @@
 	sweepInterval = 500 * time.Millisecond
 	// maxSweptFlows bounds the flows that one sweep of a table visits.
 	maxSweptFlows = 4000
-	// pauseThreshold is the time between two ticks above which the process counts as having been paused.
+	// pauseThreshold is the time between two events above which the process counts as having been paused.
 	pauseThreshold = 700 * time.Millisecond
 	tickInterval   = 100 * time.Millisecond
 	// loadCheckInterval is how often the agent checks for a changed number of pending requests: about one service time.
@@ -113,7 +113,10 @@
 	waitTimes *logs.Histogram
 	// tableCompleteAt is when the flow table begins to hold all flows of the server.
 	tableCompleteAt time.Time
-	lastTick        time.Time
+	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
+	lastRunAt time.Time
+	// pausedFor is the total time of the pauses.
+	pausedFor time.Duration
 	// refusalReason is the reason that was published last.
 	refusalReason server.Reason
 	openFlows     int
@@ -124,10 +127,13 @@
 // New returns an agent and registers its metrics in opts.Vars.
 func New(opts Options) *Agent {
 	now := time.Now()
+	serverOpts := server.Options{Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval}
+	if !opts.FirstStart {
+		serverOpts.ObservedSince = now
+	}
 	a := &Agent{
-		opts: opts, counters: new(expvar.Map), startedAt: now, lastTick: now,
-		server: server.New(server.Options{Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval}),
-		flows:  flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
+		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now,
+		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat,
@@ -183,7 +189,7 @@
 	}
 	idle := table.Idle + idleMargin
 	a.flows.SetIdleTimeout(idle)
-	if completeAt := a.startedAt.Add(idle); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
+	if completeAt := a.startedAt.Add(idle + a.pausedFor); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
 		a.tableCompleteAt = completeAt
 	}
 }
@@ -210,22 +216,24 @@
 	}
 }
 
-// HandleHeartbeat processes a heartbeat of the backend server. A restart of the server resets the flows of its earlier
-// start.
+// HandleHeartbeat processes a heartbeat of the backend server. A certain restart of the server resets the flows of its
+// earlier start.
 func (a *Agent) HandleHeartbeat(hb server.Heartbeat) error {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	_, known := a.server.LastHeartbeat()
+	a.compensatePause(now)
+	restarts := a.server.Restarts()
 	change, err := a.server.RecordHeartbeat(hb, now)
 	if err != nil {
 		return err
 	}
-	if change == server.ChangeStarted &&
-		(known || now.Sub(a.startedAt) > 2*a.opts.HeartbeatInterval || hb.IsNew(now, a.opts.HeartbeatInterval)) {
-		a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
-	}
 	if change == server.ChangeStarted {
+		restarted := a.server.Restarts() != restarts
+		if restarted || hb.IsNew(now, a.opts.HeartbeatInterval) || hb.StartedSince(a.startedAt, now, a.opts.HeartbeatInterval) {
+			a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
+		}
+		a.keepFlowsSince(hb.EarliestStart(now, a.opts.HeartbeatInterval))
 		a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 		select {
 		case a.serverStarted <- struct{}{}:
@@ -235,17 +243,18 @@
 	if change != server.ChangeNone {
 		a.opts.Log.Info("backend server changed", zap.String("id", hb.ID), zap.Stringer("change", change),
 			zap.String("service", hb.Service), zap.Uint64("sequence", hb.Sequence), zap.Time("born", hb.StartedAt),
-			zap.Duration("cold", hb.ColdRemaining), zap.Int("slots", hb.Slots))
+			zap.Duration("cold", hb.ColdRemaining), zap.Int("slots", hb.Slots), zap.Int("restarts", a.server.Restarts()),
+			zap.Duration("agent_up", now.Sub(a.startedAt)), zap.Bool("table_complete", a.tableComplete(now)))
 	}
 	a.updateReadiness(now)
 	return nil
 }
 
-// HandleShutdown processes the shutdown notice of the backend server id and resets its flows.
-func (a *Agent) HandleShutdown(id string) {
+// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
+func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.server.RecordShutdown(id) {
+	if a.server.RecordShutdown(id, receivedAt) {
 		a.resetFlows(func(*flowState) bool { return true }, "the server has left")
 		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
 		a.updateReadiness(time.Now())
@@ -264,19 +273,31 @@
 	a.opts.Cluster.TriggerHeartbeat()
 }
 
-// tick compensates for pauses of the process and handles timeouts of heartbeats and requests.
+// tick handles timeouts of heartbeats and requests.
 func (a *Agent) tick() {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if gap := now.Sub(a.lastTick); gap > pauseThreshold {
-		a.server.CompensatePause(gap)
-	}
-	a.lastTick = now
+	a.compensatePause(now)
 	a.updateReadiness(now)
 	a.expireRequests(now)
 }
 
+// compensatePause extends the timeouts of the server and of its flows if the process has been paused. Each event calls it first: after a pause,
+// packets may be handled before the next tick, and the server would count as dead.
+func (a *Agent) compensatePause(now time.Time) {
+	if gap := now.Sub(a.lastRunAt); gap > pauseThreshold {
+		a.server.CompensatePause(gap)
+		a.flows.ExtendIdleTime(gap)
+		a.pausedFor += gap
+		if a.lastRunAt.Before(a.tableCompleteAt) {
+			a.tableCompleteAt = a.tableCompleteAt.Add(gap)
+		}
+		a.opts.Log.Info("process was paused", zap.Duration("gap", gap))
+	}
+	a.lastRunAt = now
+}
+
 // reportLoad publishes the load to nearby entries when the number of pending requests has changed by at least the number
 // of the server's slots.
 func (a *Agent) reportLoad() {
@@ -294,6 +315,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	a.compensatePause(now)
 	a.flows.Sweep(now, maxSweptFlows, func(k flow.Key, f *flowState) {
 		a.counters.Add("flow_expired", 1)
 		a.closeFlow(k, f)
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -285,15 +285,34 @@
 	a.send(a.opts.EncapConn, header.AppendWithKey(buf[:0], key), f.entry)
 }
 
-// resetFlows resets the flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
-// one would be lost, and would fail if it must not be repeated.
+// keepFlowsSince assigns the flows that were first seen after start to the latest start of the server: it accepts flows before
+// its first heartbeat, while the agent takes it for the earlier start.
+func (a *Agent) keepFlowsSince(start time.Time) {
+	a.flows.Each(func(_ flow.Key, f *flowState) {
+		if f.firstSeen.After(start) {
+			f.serverRestarts = a.server.Restarts()
+		}
+	})
+}
+
+// resetFlows resets the open flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
+// one would be lost, and would fail if it must not be repeated. Opening flows are removed only: they may be open at another
+// server, which took a copy of the SYN.
 func (a *Agent) resetFlows(lost func(*flowState) bool, reason string) {
-	var keys []flow.Key
+	var keys, opening []flow.Key
 	a.flows.Each(func(k flow.Key, f *flowState) {
-		if (f.phase == phaseOpen || f.phase == phaseOpening) && lost(f) {
+		switch {
+		case !lost(f):
+		case f.phase == phaseOpen:
 			keys = append(keys, k)
+		case f.phase == phaseOpening:
+			opening = append(opening, k)
 		}
 	})
+	for _, k := range opening {
+		a.removeFlow(k)
+		a.denied.Put(k, struct{}{}, time.Now())
+	}
 	for _, k := range keys {
 		a.resetFlow(k, a.flows.Peek(k).serverNextSeq)
 	}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -3,6 +3,7 @@
 package server
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -79,11 +80,28 @@
 	if s.known && hb.StartedAt.Before(s.last.StartedAt) && !s.heartbeatsLapsed(now) {
 		return ChangeNone, ErrStale
 	}
-	s.reset(now)
+	restarted := s.isRestart(&hb, now)
+	if s.known && hb.StartedAt.Before(s.last.StartedAt) {
+		s.replaced = s.last
+	}
+	s.reset(restarted, now)
 	s.store(hb, now)
 	return ChangeStarted, nil
 }
 
+// isRestart reports whether a heartbeat of another start than the last one proves that the server has started again, so that
+// its flows are lost. A delayed heartbeat of an earlier start proves nothing, whether it comes before or after those of
+// the running server.
+func (s *Server) isRestart(hb *Heartbeat, now time.Time) bool {
+	switch {
+	case !s.known, hb.ID == s.replaced.ID && hb.StartedAt.Equal(s.replaced.StartedAt):
+		return false
+	case hb.StartedAt.Before(s.last.StartedAt):
+		return hb.maxAge(s.opts.HeartbeatInterval) <= now.Sub(s.lastHeartbeatAt)
+	}
+	return !hb.StartedAt.Before(s.opts.ObservedSince)
+}
+
 // update records a heartbeat of the current start. Draining and leaving are final within a start.
 func (s *Server) update(hb Heartbeat, now time.Time) Change {
 	if s.left || hb.Sequence <= s.last.Sequence {
@@ -112,13 +130,13 @@
 	return s.left || now.Sub(s.lastHeartbeatAt) > heartbeatTimeoutIntervals*s.opts.HeartbeatInterval
 }
 
-// reset discards the state of an earlier start. The first heartbeat doesn't count as a restart, since the agent may
-// have seen flows of this start before.
-func (s *Server) reset(now time.Time) {
-	if s.known {
+// reset discards the state of an earlier start and counts the restart if it is certain.
+func (s *Server) reset(restarted bool, now time.Time) {
+	if restarted {
 		s.restarts++
 	}
 	s.left = false
+	s.firstHeartbeatAt = now
 	s.unansweredOpens = 0
 	s.lastPacketAt = now
 	s.meanServiceTime, s.samples, s.minHealthCheckTime = 0, 0, 0
@@ -133,9 +151,39 @@
 	return hb.ColdRemaining > 0 && !hb.StartedAt.IsZero() && age >= 0 && float64(age) < maxAgeFraction*float64(interval)
 }
 
-// RecordShutdown records the shutdown notice of the server id. It reports whether id is the server of the last heartbeat.
-func (s *Server) RecordShutdown(id string) bool {
-	if !s.known || s.last.ID != id {
+// callTimeout is how long a server waits for the acknowledgement of a heartbeat.
+const callTimeout = time.Second
+
+// maxAge returns an upper bound for the time since the server started, from the number of its heartbeats: each is sent at
+// most one interval after the end of the call before it. Lost and late heartbeats and clock steps don't make it too low.
+func (hb *Heartbeat) maxAge(interval time.Duration) time.Duration {
+	perHeartbeat := interval + callTimeout
+	if hb.Sequence >= uint64(math.MaxInt64/perHeartbeat) {
+		return math.MaxInt64
+	}
+	return time.Duration(hb.Sequence+1) * perHeartbeat
+}
+
+// StartedSince reports whether the server certainly started after t, a time of a clock that the server shares. Both the
+// start time and the number of heartbeats must show it: the wall clock may have been set back since the server's start.
+func (hb *Heartbeat) StartedSince(t, now time.Time, interval time.Duration) bool {
+	return hb.StartedAt.After(t) && hb.maxAge(interval) < now.Sub(t)
+}
+
+// EarliestStart returns the earliest time at which the server may have started, by its start time, which is of a clock that
+// the server shares, and by the number of its heartbeats.
+func (hb *Heartbeat) EarliestStart(now time.Time, interval time.Duration) time.Time {
+	earliest := now.Add(-hb.maxAge(interval))
+	if hb.StartedAt.After(earliest) {
+		return hb.StartedAt
+	}
+	return earliest
+}
+
+// RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
+// of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
+func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
+	if !s.known || s.last.ID != id || s.firstHeartbeatAt.After(receivedAt) {
 		return false
 	}
 	s.left = true
