Open flows of a removed route are reset once the removal is certain

Cause: since "packets of open flows aren't reset for a missing route" an entry that lacks a route stays silent to all packets of open flows, since an entry with a newer configuration may have opened them. Callers on a flow whose route was removed then wait until their deadline. Change: the entry remembers when the first such packet of a flow came, and resets the flow at a later one if the configuration was confirmed as the newest in between. Evidence: TestOpenFlowOfRemovedRouteIsReset failed before; TestOpenFlowWithoutRouteIsNotReset still passes, and now tries a second packet as well.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,10 @@
 	// maxConfigAge is the maximum age of the configuration at which packets without a route are reset. An older one may
 	// lack a new route.
 	maxConfigAge = 1500 * time.Millisecond
+	// unroutedTTL is how long the first packet of an open flow without a route is remembered after its last one. Clients
+	// retransmit at least every 1.6 s.
+	unroutedTTL      = 5 * time.Second
+	maxUnroutedFlows = 20_000
 	// maxRetransmissions is how often a client retransmits a SYN.
 	maxRetransmissions = 2
 )
@@ -100,6 +104,8 @@
 	// lifetimes has the estimator of each route, by name.
 	lifetimes map[string]*pick.LifetimeEstimator
 	lists     map[netip.AddrPort]*flowList
+	// unrouted has the time of the first packet without a route, by open flow.
+	unrouted *flow.Table[time.Time]
 	// listRequests counts the list requests sent; its value is the ID of the latest one.
 	listRequests uint64
 }
@@ -122,7 +128,7 @@
 	r := &Relay{
 		opts: opts, counters: new(expvar.Map), flows: flow.NewTable[flowState](defaultIdleTimeout, maxTableFlows),
 		searches: make(map[flow.Key]*search), lifetimes: make(map[string]*pick.LifetimeEstimator),
-		lists: make(map[netip.AddrPort]*flowList),
+		lists: make(map[netip.AddrPort]*flowList), unrouted: flow.NewTable[time.Time](unroutedTTL, maxUnroutedFlows),
 	}
 	r.clientPort = opts.ClientConn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", r.counters)
@@ -167,6 +173,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	r.flows.Sweep(now, maxSweptFlows, func(flow.Key, *flowState) { r.counters.Add("flow_expired", 1) })
+	r.unrouted.Sweep(now, maxSweptFlows, func(flow.Key, *time.Time) {})
 	r.sweepSearches(now)
 }
 
@@ -194,7 +201,7 @@
 	rt := table.Lookup(h.Dst)
 	key := h.KeyFromClient()
 	if rt == nil && (table != nil || h.Opens()) {
-		r.rejectUnrouted(h)
+		r.rejectUnrouted(h, now)
 		return
 	}
 	if h.Opens() {
@@ -236,24 +243,34 @@
 	return estimator
 }
 
-// rejectUnrouted resets the flow of a SYN whose destination has no route. If the configuration is older than maxConfigAge,
-// it may lack a new route: the packet is dropped and the configuration is refreshed. Packets of open flows are always
-// dropped, since an entry with a newer configuration may have opened their flow.
-func (r *Relay) rejectUnrouted(h flow.Header) {
+// rejectUnrouted resets the flow of a packet whose destination has no route. If the configuration is older than maxConfigAge,
+// it may lack a new route: the packet is dropped and the configuration is refreshed. An open flow, which an entry with a newer
+// configuration may have opened, is reset only if the configuration was confirmed after a packet of the flow had come.
+func (r *Relay) rejectUnrouted(h flow.Header, now time.Time) {
 	age := r.opts.Cluster.ConfigAge()
 	if age > maxConfigAge {
 		r.opts.Cluster.RefreshConfig()
 	}
-	if age > maxConfigAge || !h.Opens() {
+	if age > maxConfigAge || (!h.Opens() && !r.seenUnroutedBefore(h.KeyFromClient(), now.Add(-age), now)) {
 		r.counters.Add("unrouted_kept_silent", 1)
 		return
 	}
-	r.opts.FlowLog.Info("packet reset: no route", zap.Stringer("flow", h.KeyFromClient()),
+	r.opts.FlowLog.Info("packet reset: no route", zap.Stringer("flow", h.KeyFromClient()), zap.Bool("opens", h.Opens()),
 		zap.Uint64("version", configVersion(r.opts.Cluster.Table())), zap.Duration("age", age))
 	r.counters.Add("reset_unrouted", 1)
 	r.reset(h)
 }
 
+// seenUnroutedBefore records a packet without a route of an open flow, and reports whether one came before confirmed.
+func (r *Relay) seenUnroutedBefore(key flow.Key, confirmed, now time.Time) bool {
+	firstSeen := r.unrouted.Get(key, now)
+	if firstSeen == nil {
+		r.unrouted.Put(key, now, now)
+		return false
+	}
+	return firstSeen.Before(confirmed)
+}
+
 // configVersion returns the version of a configuration, or 0 if there is none.
 func configVersion(t *route.Table) uint64 {
 	if t == nil {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -452,10 +452,24 @@
 
 // An entry whose configuration lacks a new route must not reset flows that were opened on it through another entry.
 func TestOpenFlowWithoutRouteIsNotReset(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.table = route.NewTable(6, nil, time.Second)
+	for range 2 {
+		tr.cluster.age = time.Second // Confirmed before the first packet.
+		tr.sendFromClient(1, ack)
+		tr.True(!tr.receivesReset())
+	}
+}
+
+// Guards against callers that wait until their deadline on a flow whose route was removed.
+func TestOpenFlowOfRemovedRouteIsReset(t *testing.T) {
 	tr := newTestRelay(t)
 	tr.cluster.table = route.NewTable(6, nil, time.Second)
 	tr.sendFromClient(1, ack)
 	tr.True(!tr.receivesReset())
+	tr.cluster.age = 0 // Confirmed since.
+	tr.sendFromClient(1, ack)
+	tr.True(tr.receivesReset())
 }
 
 // A flow that an exhaustive list names as perhaps held must be probed and not reset.
