--- /dev/null
+++ b/internal/deliv/restart_test.go
@@ -0,0 +1,189 @@
+package deliv
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bergamotrun/bergamotrun/internal/encap"
+	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/seek"
+	"github.com/bergamotrun/bergamotrun/internal/server"
+)
+
+// A restarted agent must not deny flows of a server that is older than the agent, however late the server's first heartbeat
+// comes: entries would reset these flows.
+func TestLateFirstHeartbeatDoesNotCompleteTable(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.agent.startedAt = env.agent.startedAt.Add(-5 * time.Second)
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	env.Equal(env.verdict(), seek.Perhaps)
+}
+
+// After the wall clock was set back, a server that is older than the agent looks younger. Its sequence number must keep the
+// agent from denying its flows.
+func TestClockStepDoesNotCompleteTable(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.agent.startedAt = env.agent.startedAt.Add(-5 * time.Second)
+	env.receiveHeartbeat(func(hb *server.Heartbeat) {
+		hb.Sequence, hb.StartedAt = 30, time.Now().Add(-time.Second)
+	})
+	env.Equal(env.verdict(), seek.Perhaps)
+}
+
+// An agent that has run since before its server started knows all flows of the server. It must deny others, or entries
+// would probe the server for them.
+func TestServerStartedAfterAgentCompletesTable(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.agent.startedAt = env.agent.startedAt.Add(-5 * time.Second)
+	env.receiveHeartbeat(func(hb *server.Heartbeat) {
+		hb.Sequence, hb.StartedAt = 1, time.Now().Add(-time.Second)
+	})
+	env.Equal(env.verdict(), seek.Denied)
+}
+
+// A delayed heartbeat of an earlier start may be the first that a restarted agent receives. The next heartbeat is then not
+// the sign of a restart, and must not reset flows that the agent has learned from the server's packets.
+func TestDelayedHeartbeatBeforeFirstOneKeepsFlows(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.read(env.client), []byte{5})
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID = "i-0" })
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 30, startedAt.Add(time.Minute) })
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.read(env.client), nil) // No reset.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.read(env.server), []byte{6})
+	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
+}
+
+// After a pause of the process, packets may be handled before the next tick. Heartbeats that were missed meanwhile must not
+// count against the server, whose flows would be reset.
+func TestPauseOfAgentKeepsFlowsBeforeNextTick(t *testing.T) {
+	const pause = 10 * time.Second
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(4, ack)
+	env.Equal(env.read(env.client), []byte{4})
+	env.agent.lastRunAt = env.agent.lastRunAt.Add(-pause)
+	env.agent.server.CompensatePause(-pause) // Heartbeats and packets are as old as the last event.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.read(env.server), []byte{6})
+	env.Equal(env.read(env.client), nil) // No reset.
+	env.Equal(env.verdict(), seek.Held)
+}
+
+// unknownFlowVerdict returns the agent's verdict on a flow that it has never seen.
+func (env *testEnv) unknownFlowVerdict() seek.Verdict {
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	return env.agent.verdict(flow.NewKey(service, client), time.Now())
+}
+
+// A delayed heartbeat of an earlier start must not let the saved list of the running server pass for one of an earlier start:
+// all flows of the server would be reset.
+func TestSavedListOfLaterStartIsNotReset(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.agent.SaveFlowList()
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+
+	successor := newTestEnv(t, false)
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-0", startedAt.Add(-time.Minute) })
+	successor.True(!successor.agent.tryRestore(saved)) // The list may be of a later start, whose heartbeats follow.
+	successor.Equal(successor.read(successor.client), nil)
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	successor.True(successor.agent.tryRestore(saved))
+	successor.Equal(successor.verdict(), seek.Held)
+}
+
+// The first save must leave out young flows without marking them as saved, or the list would lack them until the server has
+// many newer ones.
+func TestYoungFlowIsSavedLater(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	young := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.flows.Put(young, flowState{phase: phaseOpen, firstSeen: time.Now()}, time.Now())
+	env.agent.flows.Peek(flow.NewKey(client, service)).firstSeen = time.Now().Add(-minSaveAge)
+	_, changed := env.agent.encodeFlowList(false)
+	env.True(changed)
+	env.agent.flows.Peek(young).firstSeen = time.Now().Add(-minSaveAge)
+	list, changed := env.agent.encodeFlowList(false)
+	env.True(changed)
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(list, &saved))
+	env.Equal(len(saved.NextSeqs), 2)
+}
+
+// A server that starts again accepts flows before its first heartbeat, while the agent takes it for the earlier start. That
+// heartbeat must reset only the flows of the earlier start.
+func TestFlowOpenedBeforeFirstHeartbeatOfRestartIsKept(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	lost := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.flows.Put(lost, flowState{phase: phaseOpen, firstSeen: time.Now().Add(-time.Minute), serverNextSeq: 9}, time.Now())
+	restartedAt := time.Now().Add(-time.Second)
+	env.openFlow()
+	env.receiveFromServer(4, ack)
+	env.Equal(env.read(env.client), []byte{4})
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", restartedAt })
+	env.Equal(env.read(env.client), []byte{'R', 9})
+	env.Equal(env.read(env.client), nil) // Only one reset.
+	env.Equal(env.verdict(), seek.Held)
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.read(env.server), []byte{6})
+}
+
+// A client sends copies of its SYN to several servers and opens the flow at one of them. If another one restarts, its agent
+// must not reset the flow, neither at the restart nor when a packet of the flow comes.
+func TestRestartOfServerThatWasNotChosenKeepsFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true})
+	env.Equal(env.read(env.client), []byte{2})
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", time.Now() })
+	env.Equal(env.read(env.client), nil) // No reset.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.readKind(env.entry), encap.Return) // The entry finds the flow's server.
+	env.Equal(env.read(env.client), nil)
+}
+
+// The same holds if the heartbeats of the server that was not chosen are missing, so that it counts as dead.
+func TestDeathOfServerThatWasNotChosenKeepsFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true})
+	env.Equal(env.read(env.client), []byte{2})
+	env.agent.server.CompensatePause(-10 * time.Second) // Heartbeats and packets were long ago.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
+	env.Equal(env.readKind(env.entry), encap.Return)
+	env.Equal(env.read(env.client), nil)
+}
+
+// In a pause the agent misses the packets by which it would learn or keep flows. The pause must not count towards the time
+// after which its table is complete, nor towards the idle time of flows: the agent would deny flows that its server holds.
+func TestPauseOfAgentDoesNotAgeFlowTable(t *testing.T) {
+	const pause = time.Minute
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.verdict(), seek.Held)
+	env.agent.tableCompleteAt = env.agent.tableCompleteAt.Add(-pause)
+	env.agent.flows.ExtendIdleTime(-pause)
+	env.agent.lastRunAt = env.agent.lastRunAt.Add(-pause)
+	env.agent.sweep()
+	env.agent.startedAt = env.agent.startedAt.Add(-pause)
+	env.agent.Configure(env.cluster.table)
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
+}
