relay: a stopping entry forwards packets as long as it gets any

Callers: a planned removal of entries failed requests though the entries that stayed were idle. While fewer than half of a failure domain's entries are ready, routers send packets to all of them (PROTOCOL, Ingress). A removed entry is one of these for 6.5 s after its SIGTERM, but it stopped 2.2 s after it: for 4.3 s, the packets of most flows of that domain went to stopped entries.

Cause: the shutdown delay was fixed, on the assumption that two failed readiness checks always end the traffic to an entry.

Fix: after the 2.2 s an entry goes on as long as client packets arrive, until 1.5 s before the end of its grace period. It keeps its membership meanwhile: the others send heartbeats to an entry that drains.

TestStoppingEntryForwardsWhileInRotation stops all entries, so that the fabric keeps them in rotation, and requires answers for 3.5 s.

--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -34,6 +34,8 @@
 const (
 	// flowLogLinesPerSecond bounds the log lines per second of each kind of flow event.
 	flowLogLinesPerSecond = 40
+	// rotationCheckInterval is the time between two checks whether a stopping process is still in rotation.
+	rotationCheckInterval = 100 * time.Millisecond
 	// settingsPollInterval is how often the settings file is checked for changes that no SIGHUP announced.
 	settingsPollInterval = 3 * time.Second
 	// readHeaderTimeout bounds reading the header of an HTTP request.
@@ -256,8 +258,10 @@
 type serveOptions struct {
 	file string
 	text []byte
-	// shutdownDelay is how long the process keeps serving after a stop was requested.
-	shutdownDelay time.Duration
+	// shutdownDelay is how long the process keeps serving after a stop was requested. While inRotation, if set, returns
+	// true, it keeps serving until maxShutdownDelay.
+	shutdownDelay, maxShutdownDelay time.Duration
+	inRotation                      func() bool
 	// onStop, if set, is called after the stop was announced to the other processes.
 	onStop func()
 	// heartbeatHandler is served on heartbeatAddr, the address of the setting announce, where a backend server sends its
@@ -302,16 +306,29 @@
 	if opts.onStop != nil {
 		opts.onStop()
 	}
-	select {
-	case <-serveCtx.Done():
-	case <-time.After(opts.shutdownDelay):
-	}
+	opts.waitOutOfRotation(serveCtx)
 	if p.isEntry {
 		p.node.AnnounceStop(view.Gone) // An agent stays draining: its backend server and the flows may outlive it.
 	}
 	return nil
 }
 
+// waitOutOfRotation returns after shutdownDelay, or later if the process still receives packets then, at the latest after
+// maxShutdownDelay. It returns early if ctx is done.
+func (o *serveOptions) waitOutOfRotation(ctx context.Context) {
+	deadline := time.Now().Add(o.maxShutdownDelay)
+	for delay := o.shutdownDelay; delay > 0; delay = min(rotationCheckInterval, time.Until(deadline)) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(delay):
+		}
+		if o.inRotation == nil || !o.inRotation() {
+			return
+		}
+	}
+}
+
 // close closes control connections, logs the stop with err, and flushes the log.
 func (p *process) close(err error) error {
 	p.controlClient.Close()
--- a/cmd/relay.go
+++ b/cmd/relay.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// relayShutdownDelay is how long a stopping entry keeps forwarding packets. Routers take it out of rotation after two
-	// failed readiness checks, half a second apart.
+	// relayShutdownDelay is how long a stopping entry at least keeps forwarding packets. Routers take it out of rotation
+	// after two failed readiness checks, half a second apart, unless too many entries of its failure domain are out already.
 	relayShutdownDelay = 2200 * time.Millisecond
 	// exitReserve is the part of the configured stop time that is reserved for process exit.
 	exitReserve = 1500 * time.Millisecond
@@ -60,6 +60,7 @@
 	})
 	return p.close(p.serve(ctx, r, serveOptions{
 		file: *file, text: text, shutdownDelay: min(relayShutdownDelay, s.Stop.Std()-exitReserve),
+		maxShutdownDelay: s.Stop.Std() - exitReserve, inRotation: r.InRotation,
 		heartbeatHandler: http.NotFoundHandler(), heartbeatAddr: s.Announce,
 		parseSettings: func(f string, t []byte) (sett.OpaqueCommon, error) {
 			s, err := sett.ParseRelay(f, t)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,6 +38,8 @@
 	// maxConfigAge is the maximum age of the configuration at which packets without a route are reset. An older one may
 	// lack a new route.
 	maxConfigAge = 1500 * time.Millisecond
+	// rotationTimeout is the time without a client packet after which an entry counts as out of rotation.
+	rotationTimeout = 500 * time.Millisecond
 	// maxRetransmissions is how often a client retransmits a SYN.
 	maxRetransmissions = 2
 )
@@ -102,6 +104,8 @@
 	lists     map[netip.AddrPort]*flowList
 	// listRequests counts the list requests sent; its value is the ID of the latest one.
 	listRequests uint64
+	// lastClientPacket is when the newest packet of a client arrived.
+	lastClientPacket time.Time
 }
 
 // flowState is what the flow table holds for a flow.
@@ -152,6 +156,13 @@
 	return r.opts.Cluster.Table() != nil && r.opts.Cluster.AcceptsNewFlows()
 }
 
+// InRotation reports whether routers still forward packets to this entry.
+func (r *Relay) InRotation() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.lastClientPacket) < rotationTimeout
+}
+
 // Configure applies the idle timeout of a new configuration.
 func (r *Relay) Configure(t *route.Table) {
 	r.mu.Lock()
@@ -188,6 +199,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lastClientPacket = now
 	table := r.opts.Cluster.Table()
 	rt := table.Lookup(h.Dst)
 	key := h.KeyFromClient()
--- a/tests/flow_recovery_test.go
+++ b/tests/flow_recovery_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	recoveryTarget = time.Second
 	// recoveryTimeout is how long a flow may take before it counts as lost: the request timeout of users.
 	recoveryTimeout = 8 * time.Second
+	// stopTrafficTime is how long packets arrive at stopping entries. It ends well before their grace period.
+	stopTrafficTime = 3500 * time.Millisecond
 )
 
 // resetCounter counts the open flows that the system has reset.
@@ -84,6 +87,28 @@
 	}
 }
 
+// Entries that stopped after a fixed delay lost the packets that routers still sent them because too few others were ready.
+func TestStoppingEntryForwardsWhileInRotation(t *testing.T) {
+	recordTestRun(t)
+	t.Parallel()
+	is := is.New(t)
+	deployment, err := local.New(local.CheckOptions(binary, t.TempDir(), slotStop))
+	is.NoErr(err)
+	defer deployment.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	is.NoErr(deployment.Start(ctx))
+	flows := establishFlows(t, deployment)
+	for _, p := range deployment.Entries {
+		p.Signal(syscall.SIGTERM) // With no entry ready, the fabric keeps all in rotation.
+	}
+	for stopped := time.Now(); time.Since(stopped) < stopTrafficTime; {
+		_, lost := requestOnEach(flows, fmt.Sprintf("stopping-%s", time.Since(stopped)))
+		is.Equal(lost, 0) // All entries still forward packets.
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // establishFlows opens flows and sends a request on each.
 func establishFlows(t *testing.T, deployment *local.Deployment) []*fakes.Flow {
 	t.Helper()
--- a/tests/opaque_test.go
+++ b/tests/opaque_test.go
@@ -21,6 +21,7 @@
 	slotLoad
 	slotRecovery
 	slotSlope
+	slotStop
 )
 
 // A deployment for opaque flows must answer all requests and keep all flows while all entries and one agent are replaced
