relay: a stopping entry uses all but 0.5 s of its grace period

Cause: the reserve.

Fix: a reserve of 0.5 s. An entry that is killed after all loses nothing: it has no state to save.

TestStoppingEntryForwardsWhileInRotation now requires answers until a second before the end of the grace period.

--- a/cmd/relay.go
+++ b/cmd/relay.go
@@ -20,7 +20,7 @@
 	// after two failed readiness checks, half a second apart, unless too many entries of its failure domain are out already.
 	relayShutdownDelay = 2200 * time.Millisecond
 	// exitReserve is the part of the configured stop time that is reserved for process exit.
-	exitReserve = 1500 * time.Millisecond
+	exitReserve = 500 * time.Millisecond
 )
 
 func relayCommand() *command {
--- a/tests/flow_recovery_test.go
+++ b/tests/flow_recovery_test.go
@@ -24,8 +24,8 @@
 	recoveryTarget = time.Second
 	// recoveryTimeout is how long a flow may take before it counts as lost: the request timeout of users.
 	recoveryTimeout = 8 * time.Second
-	// stopTrafficTime is how long packets arrive at stopping entries. It ends well before their grace period.
-	stopTrafficTime = 3500 * time.Millisecond
+	// stopTrafficTime is how long packets arrive at stopping entries, one second less than their grace period.
+	stopTrafficTime = local.GracePeriod - time.Second
 )
 
 // resetCounter counts the open flows that the system has reset.
