--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,8 @@
 	// retransmit at least every 1.6 s.
 	unroutedTTL      = 5 * time.Second
 	maxUnroutedFlows = 20_000
+	// rotationTimeout is the time without a client packet after which an entry counts as out of rotation.
+	rotationTimeout = 500 * time.Millisecond
 	// maxRetransmissions is how often a client retransmits a SYN.
 	maxRetransmissions = 2
 )
@@ -108,6 +110,8 @@
 	unrouted *flow.Table[time.Time]
 	// listRequests counts the list requests sent; its value is the ID of the latest one.
 	listRequests uint64
+	// lastClientPacket is when the newest packet of a client arrived.
+	lastClientPacket time.Time
 }
 
 // flowState is what the flow table holds for a flow.
@@ -158,6 +162,13 @@
 	return r.opts.Cluster.Table() != nil && r.opts.Cluster.AcceptsNewFlows()
 }
 
+// InRotation reports whether routers still forward packets to this entry.
+func (r *Relay) InRotation() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.lastClientPacket) < rotationTimeout
+}
+
 // Configure applies the idle timeout of a new configuration.
 func (r *Relay) Configure(t *route.Table) {
 	r.mu.Lock()
@@ -197,6 +208,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lastClientPacket = now
 	table := r.opts.Cluster.Table()
 	rt := table.Lookup(h.Dst)
 	key := h.KeyFromClient()
