Agents save the final list of flows when they stop serving

What callers saw: after a planned restart of an agent, an open flow is unknown to its successor and has to be searched by probes. Cause: the final list was saved as soon as the stop was announced, but the agent goes on to serve for 150 ms, in which entries that haven't received the announcement yet open further flows. Change: the list is saved at the end of that time. Evidence: TestStateIsSavedAfterShutdownDelay failed before: saved after 0 s.

--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -262,7 +262,7 @@
 	// true, it keeps serving until maxShutdownDelay.
 	shutdownDelay, maxShutdownDelay time.Duration
 	inRotation                      func() bool
-	// onStop, if set, is called after the stop was announced to the other processes.
+	// onStop, if set, is called when the process is about to stop serving.
 	onStop func()
 	// heartbeatHandler is served on heartbeatAddr, the address of the setting announce, where a backend server sends its
 	// heartbeats.
@@ -303,16 +303,22 @@
 	}
 	p.log.Info("process stops", zap.Duration("serves_for", opts.shutdownDelay))
 	p.node.AnnounceStop(view.Draining)
-	if opts.onStop != nil {
-		opts.onStop()
-	}
-	opts.waitOutOfRotation(serveCtx)
+	opts.finishServing(serveCtx)
 	if p.isEntry {
 		p.node.AnnounceStop(view.Gone) // An agent stays draining: its backend server and the flows may outlive it.
 	}
 	return nil
 }
 
+// finishServing waits until the process is out of rotation and then calls onStop, so that what onStop saves includes the
+// flows that were opened meanwhile.
+func (o *serveOptions) finishServing(ctx context.Context) {
+	o.waitOutOfRotation(ctx)
+	if o.onStop != nil {
+		o.onStop()
+	}
+}
+
 // waitOutOfRotation returns after shutdownDelay, or later if the process still receives packets then, at the latest after
 // maxShutdownDelay. It returns early if ctx is done.
 func (o *serveOptions) waitOutOfRotation(ctx context.Context) {
--- a/cmd/opaque_test.go
+++ b/cmd/opaque_test.go
@@ -45,3 +45,16 @@
 		is.Equal(time.Since(started), 150*time.Millisecond)
 	})
 }
+
+// Guards against flows that an agent's successor doesn't know: those opened after the stop was announced, by entries that
+// hadn't received the announcement yet.
+func TestStateIsSavedAfterShutdownDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		started := time.Now()
+		var savedAfter time.Duration
+		opts := serveOptions{shutdownDelay: 150 * time.Millisecond, onStop: func() { savedAfter = time.Since(started) }}
+		opts.finishServing(context.Background())
+		is.Equal(savedAfter, 150*time.Millisecond)
+	})
+}
