agent: a drain waits for requests of peers, and rejects later ones until peers know

Cause: "drained" was concluded from no open flow and an idle scheduler. An order whose ticket the draining agent had issued arrives from a peer, not on a flow, and the draining agent hands it over to another peer, so the scheduler doesn't hold it either. The drain ended within milliseconds, the end of the process cut both connections, and the request ran half at the other peer ("context canceled", may_have_run=true). Orders that arrived after the count was taken were cut as well: a request on a connection that closes counts as one that may have run, so the caller can't send it again.

Now requestTracker counts requests of peers until they end. The drain waits until none is in progress and lets none begin from that moment, under one lock. For two heartbeats after the agent has announced its end it rejects requests, which tells the peer that they haven't run; then the server shuts down, which waits until responses are sent.

Not covered: a request on an idle connection at the moment of the shutdown, of a peer that two heartbeats haven't told.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -222,10 +222,13 @@
 	return g.Run()
 }
 
+// serveHTTP1 serves requests of peers. After the server was closed it returns only when the agent ends, as requests may be in
+// progress until then.
 func (a *Agent) serveHTTP1() error {
 	if err := a.http1.Serve(a.controlListener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "agent: serve requests of peers")
 	}
+	<-a.abortCtx.Done()
 	return nil
 }
 
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -127,8 +127,8 @@
 	return mux
 }
 
-// filterPeer rejects a request that wasn't meant for this agent's service, that has begun or was voided, or that arrives
-// while the agent is draining and isn't handed over because of its ticket.
+// filterPeer rejects a request that wasn't meant for this agent's service, that has begun or was voided, that arrives while
+// the agent is draining and isn't handed over because of its ticket, or that arrives after the agent has drained.
 func (a *Agent) filterPeer(next handler) handler {
 	return func(c *call) {
 		service, _ := a.identity()
@@ -147,6 +147,7 @@
 			a.reject(c)
 			return
 		}
+		defer a.requests.end()
 		if c.mode != modeFreeSlot {
 			a.accept(c)
 		}
--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -26,6 +26,11 @@
 	maxJoinEntries = 3
 	// goneHeartbeats is the number of heartbeats with which a stopping agent announces its end, as datagrams may be lost.
 	goneHeartbeats = 3
+	// goneNotice is how long a stopping agent rejects requests of peers after it has announced its end. Peers learn of the end
+	// when their next heartbeat is acknowledged.
+	goneNotice = 2 * heartbeatInterval
+	// shutdownTimeout limits the wait for the last rejections to be sent.
+	shutdownTimeout = time.Second
 )
 
 // join fetches the service state from entries and creates the agent's own record. It retries until it succeeds or ctx is
@@ -285,26 +290,46 @@
 	a.reportLoad()
 }
 
-// drain waits for the requests in progress to end, for at most the contract's drain time, and closes the flows.
-func (a *Agent) drain(ctx context.Context) {
+// drain waits for the requests of callers and peers in progress to end, for at most the contract's drain time, and closes the
+// flows and the connections of peers.
+func (a *Agent) drain(abortCtx context.Context) {
 	a.stopping.Store(true)
 	a.setDraining(true, "this process was asked to stop")
 	select {
-	case <-ctx.Done():
+	case <-abortCtx.Done():
 	case <-time.After(a.opts.DrainDelay):
 	}
 	limit := a.service.get().record.Contract.Drain.Std()
 	a.log.Info("closing flows when their requests have ended", zap.Int64("flows", a.openFlows.Load()), zap.Duration("limit", limit))
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(abortCtx, limit)
 	defer cancel()
 	if err := a.http3.Shutdown(ctx); err != nil {
 		a.log.Warn("the drain time is over; requests in progress are cut", zap.Error(err), zap.Int64("flows", a.openFlows.Load()))
 	}
+	if err := a.requests.closeWhenIdle(ctx); err != nil {
+		a.log.Warn("the drain time is over; requests of peers in progress are cut", zap.Error(err))
+	}
 	a.scheduler.awaitIdle(ctx)
 	a.announceGone()
+	a.closeToPeers(abortCtx)
 	a.log.Info("agent has drained")
 }
 
+// closeToPeers ends the server for requests of peers. Until then it rejects their requests, so that they know that those
+// haven't run: a request on a connection that is closed meanwhile counts as one that may have run.
+func (a *Agent) closeToPeers(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(goneNotice):
+	}
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	if err := a.http1.Shutdown(ctx); err != nil {
+		a.log.Warn("connections of peers are cut", zap.Error(err))
+	}
+}
+
 // announceGone notifies the entries that the agent has ended.
 func (a *Agent) announceGone() {
 	a.mu.Lock()
--- a/internal/agent/tickets.go
+++ b/internal/agent/tickets.go
@@ -1,11 +1,14 @@
 package agent
 
 import (
+	"context"
 	"net/http"
 	"net/netip"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bergamotrun/bergamotrun/internal/retry"
 	"github.com/bergamotrun/bergamotrun/internal/ticket"
 	"github.com/bergamotrun/bergamotrun/pkg/contr"
@@ -23,6 +26,12 @@
 	// handovers has the IDs of peers' requests: true for begun, false for voided. handoverOrder has them by age.
 	handovers     map[string]bool
 	handoverOrder []string
+	// running is the number of peers' requests in progress.
+	running int
+	// idle is not nil once closeWhenIdle was called, and closed when no request of a peer has been in progress since.
+	idle chan struct{}
+	// closed is true if no request of a peer begins any more.
+	closed bool
 }
 
 func newRequestTracker() *requestTracker {
@@ -43,17 +52,54 @@
 	return t.retryBudget.Allow()
 }
 
-// begin records that a peer's request begins, and reports false if it has begun before or was voided.
+// begin records that a peer's request begins, and reports false if it has begun before or was voided, or if the tracker is
+// closed. If it reports true, end must be called.
 func (t *requestTracker) begin(id string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, ok := t.handovers[id]; ok {
+	if _, ok := t.handovers[id]; ok || t.closed {
 		return false
 	}
 	t.record(id, true)
+	t.running++
 	return true
 }
 
+// end records that a peer's request has ended.
+func (t *requestTracker) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	t.closeIfIdle()
+}
+
+// closeIfIdle closes the tracker if closeWhenIdle waits for that and no request is in progress. The caller holds the lock.
+func (t *requestTracker) closeIfIdle() {
+	if t.idle != nil && !t.closed && t.running == 0 {
+		t.closed = true
+		close(t.idle)
+	}
+}
+
+// closeWhenIdle waits until no request of a peer is in progress, and lets none begin from then on. If ctx is done before,
+// none begins from then on either, and the error is that of ctx. It must be called once.
+func (t *requestTracker) closeWhenIdle(ctx context.Context) error {
+	t.mu.Lock()
+	idle := make(chan struct{})
+	t.idle = idle
+	t.closeIfIdle()
+	t.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+	return errors.Wrap(ctx.Err(), "agent: requests of peers in progress")
+}
+
 // void prevents a peer's request from beginning, and reports false if it has begun already.
 func (t *requestTracker) void(id string) bool {
 	t.mu.Lock()
