entry: contracts of new services aren't written into the slice that lookups read

Would be seen: while a contract is added, a lookup without a lock reads a slice that is being written, and Services returns a nil service for a holder that has no value yet, which ends the process in ListenServices if it runs beside.

Cause: SetContracts grew the slice by doubling and wrote new holders into the published one as long as they fitted. It also looked up the contract in force in the published slice while a longer one was prepared: of two contracts of a new service in one batch the later one in the batch won, also if it was older.

Evidence: go test -race ./internal/entry -run 'ContractsAreSet|OlderOfTwo' on the code before reported a data race between SetContracts and Services; TestOlderOfTwoNewContractsIsIgnored failed there: 2 contracts applied, not 1.

Now a new service goes into a copy, which is published when it is complete, and lookups of SetContracts use the copy.

--- a/internal/entry/route_test.go
+++ b/internal/entry/route_test.go
@@ -186,6 +186,41 @@
 	is.Equal(e.table.ByAddress(serviceAddress(1)).Number, uint32(3))
 }
 
+// TestContractsAreSetWhileTableIsRead guards against a new service that is written into the slice that lookups read, where
+// they met a service without a value.
+func TestContractsAreSetWhileTableIsRead(t *testing.T) {
+	is := is.New(t)
+	const services = 200
+	table := NewTable(true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := uint32(1); i <= services; i++ {
+			contract := contr.Contract{Member: "m", Address: netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i))}
+			table.SetContracts([]contr.Record{{Contract: contract, Number: i, Serial: uint64(i)}})
+		}
+	}()
+	for reading := true; reading; {
+		select {
+		case <-done:
+			reading = false
+		default:
+		}
+		for _, s := range table.Services() {
+			is.True(s != nil)
+		}
+	}
+	is.True(table.ByNumber(services) != nil)
+}
+
+// TestOlderOfTwoNewContractsIsIgnored guards against an older contract that replaces a newer one of the same batch.
+func TestOlderOfTwoNewContractsIsIgnored(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(true)
+	is.Equal(table.SetContracts([]contr.Record{{Number: 1, Serial: 2}, {Number: 1, Serial: 1}}), 1)
+	is.Equal(table.ByNumber(1).ContractSerial, uint64(2))
+}
+
 func TestMemberSharesFollowContracts(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(false)
--- a/internal/entry/table.go
+++ b/internal/entry/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,11 +79,7 @@
 
 // ByNumber returns the service with the given number, or nil. It also finds retired services, whose flows continue.
 func (t *Table) ByNumber(number uint32) *Service {
-	holders := *t.byNumber.Load()
-	if int(number) >= len(holders) || holders[number] == nil {
-		return nil
-	}
-	return holders[number].service.Load()
+	return serviceAt(*t.byNumber.Load(), number)
 }
 
 // SetContracts applies the contracts that are newer than those in the table and returns their number.
@@ -90,33 +87,46 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	holders := *t.byNumber.Load()
-	rebuildIndex := false
+	copied, rebuildIndex := false, false
 	for i := range records {
 		r := &records[i]
-		old := t.ByNumber(r.Number)
+		old := serviceAt(holders, r.Number)
 		if old != nil && old.ContractSerial >= r.Serial {
 			continue
 		}
 		changed++
-		holders = growHolders(holders, r.Number)
 		updated := t.newService(r)
 		t.updateMemberShare(old, updated)
+		rebuildIndex = rebuildIndex || old == nil || old.Retired != updated.Retired
 		if old != nil {
 			updated.candidates, updated.trackers = old.candidates, old.trackers
+			holders[r.Number].service.Store(updated)
+			continue
 		}
-		rebuildIndex = rebuildIndex || old == nil || old.Retired != updated.Retired
-		if holders[r.Number] == nil {
-			holders[r.Number] = &serviceHolder{}
+		if !copied { // Lookups read the published slice without a lock.
+			holders, copied = slices.Clone(holders), true
 		}
+		holders = growHolders(holders, r.Number)
+		holders[r.Number] = &serviceHolder{}
 		holders[r.Number].service.Store(updated)
 	}
-	t.byNumber.Store(&holders)
+	if copied {
+		t.byNumber.Store(&holders)
+	}
 	if rebuildIndex {
 		t.rebuildAddressIndex(holders)
 	}
 	return changed
 }
 
+// serviceAt returns the service with the given number in holders, or nil.
+func serviceAt(holders []*serviceHolder, number uint32) *Service {
+	if int(number) >= len(holders) || holders[number] == nil {
+		return nil
+	}
+	return holders[number].service.Load()
+}
+
 // growHolders returns holders if number is a valid index of it, otherwise a longer copy.
 func growHolders(holders []*serviceHolder, number uint32) []*serviceHolder {
 	if int(number) < len(holders) {
