roster: an entry that has ended and knows no other one answers an agent

Would be seen: an entry that announces its end and knows no other entry that is up panicked when an agent fetched its service state, since a random index below 0 entries doesn't exist. net/rpc doesn't recover, so the process ended at once.

Cause: the view's entries without those that are gone counted as never empty. After SetState(Gone) the entry itself is gone.

Evidence: TestServiceOfEndedEntry panicked on the code before: invalid argument to IntN.

go test ./internal/roster passed.

--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -241,6 +241,17 @@
 }
 
 // newLargeRoster returns a roster with n agent records of 13,000 services.
+// TestServiceOfEndedEntry guards against a panic, which ends the process, if an agent calls an entry that has just announced
+// its end and knows no other entry.
+func TestServiceOfEndedEntry(t *testing.T) {
+	is := is.New(t)
+	r := startEntries(t, 1, kvfake.NewMemory())[0].roster
+	r.SetState(view.Gone)
+	var reply ctrl.ServiceReply
+	is.NoErr(r.RPCMethods().Service(ctrl.ServiceArgs{Service: "s1"}, &reply))
+	is.Equal(len(reply.Entries), 1)
+}
+
 func newLargeRoster(b *testing.B, n int) *Roster {
 	b.Helper()
 	entries := startEntries(b, 1, kvfake.NewMemory())
--- a/internal/roster/rpc_methods.go
+++ b/internal/roster/rpc_methods.go
@@ -58,8 +58,9 @@
 		reply.Hash = r.view.ServiceHash(reply.Record.Number)
 	}
 	reply.Entries = append(reply.Entries, r.self)
-	for range maxReplyEntries {
-		rec := r.view.EntryAt(r.rand.IntN(r.view.EntryCount()))
+	entryCount := r.view.EntryCount() // 0 if this entry has ended and knows no other.
+	for i := 0; entryCount > 0 && i < maxReplyEntries; i++ {
+		rec := r.view.EntryAt(r.rand.IntN(entryCount))
 		if !containsProcess(reply.Entries, rec) {
 			reply.Entries = append(reply.Entries, rec)
 		}
