agent: a late acceptance of a peer doesn't cut the request that runs there

Callers saw: on a busy machine an order failed with 502 and "it is unknown whether the request ran", though both agents and the server were sound.

Cause: an agent that hadn't received within 250 ms that a peer accepts a request canceled it first and asked the peer to void it then. After a stall the acceptance is late, while the request runs: the cancellation cut it, and the peer could only reply that it has begun.

Evidence: TestBegunRequestIsNotCut failed on the code before: outcome 4 (unknown), not 1 (completed).

Now the peer is asked first. If it voids the request, or doesn't reply, the request is canceled as before. If it replies that the request has begun, the response is awaited until the deadline. Idempotent requests are still canceled, as they may be sent again at once.

go test -race ./internal/agent passed.

--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -34,41 +34,41 @@
 	voidTimeout = 500 * time.Millisecond
 )
 
+// attempt is the state of one attempt to hand a request over.
+type attempt struct {
+	id   string
+	peer netip.AddrPort
+	// connected is true if the request may have been sent, accepted if the peer has accepted, rejected or begun it, and
+	// voided if the peer has confirmed that it won't run it.
+	connected, accepted, voided atomic.Bool
+}
+
 // handOver sends a call to a peer and writes the peer's response to the caller.
 //
-// The peer accepts or rejects the request at once. If it does neither within acceptTimeout, the connection may have become
-// unresponsive. A second request, over a new connection, then voids the first one, so that it certainly doesn't run.
+// The peer accepts or rejects the request at once. If nothing is received within acceptTimeout, the connection may have become
+// unresponsive. A second request, over a new connection, then voids the first one, so that it certainly doesn't run. If the
+// peer replies that the first one has begun, its response is awaited, unless it may be sent again since it is idempotent.
 func (a *Agent) handOver(ctx context.Context, c *call, peer netip.AddrPort, m mode) result {
 	id := strconv.FormatUint(a.ownRecord().Incarnation, 36) + "-" + a.controlLink.Addr().String() + "-" + strconv.FormatUint(a.lastHandoverID.Add(1), 36)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var accepted, connected atomic.Bool
+	try := &attempt{id: id, peer: peer}
 	timer := time.AfterFunc(acceptTimeout, func() {
-		if !accepted.Load() {
+		if !try.accepted.Load() && (!try.connected.Load() || !a.hasBegun(try) || c.idempotent) {
 			cancel()
 		}
 	})
 	defer timer.Stop()
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
-			if code == http.StatusProcessing {
-				accepted.Store(true)
-				a.recordLoadHeader(peer, http.Header(h))
-			}
-			return nil
-		},
-	}
-	req := a.newHandoverRequest(httptrace.WithClientTrace(ctx, trace), c, peer, m, id)
+	req := a.newHandoverRequest(httptrace.WithClientTrace(ctx, a.attemptTrace(try)), c, peer, m, id)
 	resp, err := a.peers.transport.RoundTrip(req)
 	if err != nil {
 		res := result{outcome: outcomeUnknown, err: errors.Wrapf(err, "agent: peer %s", peer)}
-		if !connected.Load() || (!accepted.Load() && a.voidAtPeer(peer, id)) {
+		if !try.connected.Load() || try.voided.Load() || (!try.accepted.Load() && !a.hasBegun(try) && try.voided.Load()) {
 			res.outcome = outcomeNotRun
 		}
 		return res
 	}
-	accepted.Store(true)
+	try.accepted.Store(true)
 	defer func() { _ = resp.Body.Close() }()
 	a.recordLoadHeader(peer, resp.Header)
 	if resp.Header.Get(headerRejected) != "" {
@@ -78,6 +78,32 @@
 	return writeResponse(c, resp)
 }
 
+// attemptTrace returns the trace that records whether a request was sent and accepted.
+func (a *Agent) attemptTrace(try *attempt) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { try.connected.Store(true) },
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if code == http.StatusProcessing {
+				try.accepted.Store(true)
+				a.recordLoadHeader(try.peer, http.Header(h))
+			}
+			return nil
+		},
+	}
+}
+
+// hasBegun asks the peer of an attempt to void the request, and reports whether the peer has begun it already.
+func (a *Agent) hasBegun(try *attempt) bool {
+	switch a.voidAtPeer(try.peer, try.id) {
+	case http.StatusOK:
+		try.voided.Store(true)
+	case http.StatusConflict:
+		try.accepted.Store(true)
+		return true
+	}
+	return false
+}
+
 func (a *Agent) newHandoverRequest(ctx context.Context, c *call, peer netip.AddrPort, m mode, id string) *http.Request {
 	req := newOutgoingRequest(ctx, c, &url.URL{Scheme: "https", Host: peer.String()})
 	req.Header.Set(headerHandover, id)
@@ -92,24 +118,24 @@
 	return req
 }
 
-// voidAtPeer sends a peer a request, over a new connection, to void an earlier request. It reports whether the peer
-// confirmed that the earlier one won't run.
-func (a *Agent) voidAtPeer(peer netip.AddrPort, id string) bool {
+// voidAtPeer sends a peer a request, over a new connection, to void an earlier request. It returns the status of the response:
+// http.StatusOK if the earlier one won't run, http.StatusConflict if it has begun, and 0 if there is no response.
+func (a *Agent) voidAtPeer(peer netip.AddrPort, id string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), voidTimeout)
 	defer cancel()
 	u := url.URL{Scheme: "https", Host: peer.String(), Path: voidPath, RawQuery: url.Values{"id": {id}}.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	transport := a.peers.transport.Clone()
 	transport.DisableKeepAlives = true
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode
 }
 
 // peerHandler returns the handler for requests of peers.
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -112,6 +112,38 @@
 	is.Equal(ran.Load(), int64(2))
 }
 
+// finalOnly drops informational responses, as if they were late.
+type finalOnly struct{ http.ResponseWriter }
+
+func (w finalOnly) WriteHeader(code int) {
+	if code >= http.StatusOK {
+		w.ResponseWriter.WriteHeader(code)
+	}
+}
+
+func (finalOnly) Flush() {}
+
+// TestBegunRequestIsNotCut guards against an agent that cuts a request that runs at a peer because it didn't receive in time
+// that the peer has accepted it.
+func TestBegunRequestIsNotCut(t *testing.T) {
+	is := is.New(t)
+	backend := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(2 * acceptTimeout):
+		}
+	}))
+	defer backend.Close()
+	a, peer := newTestAgent(t, backend.URL), newTestAgent(t, backend.URL)
+	next := peer.http1.Handler
+	peer.http1.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { next.ServeHTTP(finalOnly{w}, r) })
+	go func() { _ = peer.http1.Serve(peer.controlListener) }()
+	c, rec := newTestCall(a, http.MethodPost)
+	res := a.handOver(t.Context(), c, peer.controlLink.Addr(), modeFreeSlot)
+	is.Equal(res.outcome, outcomeCompleted)
+	is.Equal(rec.Code, http.StatusOK)
+}
+
 func TestVoidedRequestNeverBegins(t *testing.T) {
 	is := is.New(t)
 	tracker := newRequestTracker()
