agent: replies of two entries don't restore an older contract

Would be seen: an agent that looks for entries, as none acknowledges its heartbeats, while another one's acknowledgement makes it fetch the service state, could go back to an older contract: requests are handled by its limits, and a retired service by the agent as one in force, until the next acknowledgement.

Cause: runHeartbeats and runRefreshes apply replies, and serviceStateHolder.update must not be called concurrently: each merges its reply into the state that it has read before.

Now a reply is put in force, with its packet keys and limits, under a lock.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -116,6 +116,8 @@
 	// stopping is true if this process is shutting down, as opposed to its backend server draining.
 	stopping atomic.Bool
 
+	// applyMu is held while a service state is put in force.
+	applyMu sync.Mutex
 	// mu protects self, the agent's own record.
 	mu   sync.Mutex
 	self view.Record
--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -142,14 +142,18 @@
 	if err := a.controlClient.Call(ctx, addr, "Entry.Service", ctrl.ServiceArgs{Service: a.opts.Service}, &reply); err != nil {
 		return err
 	}
-	before, after := a.service.update(&reply)
+	return a.applyReply(&reply)
+}
+
+// applyReply puts the service state of an entry's reply in force. Replies of several entries may arrive at the same time.
+func (a *Agent) applyReply(reply *ctrl.ServiceReply) error {
+	a.applyMu.Lock()
+	defer a.applyMu.Unlock()
+	before, after := a.service.update(reply)
 	if reply.KeySerial > before.keySerial {
-		keyring, err := reply.Keys.Open(a.opts.Secret)
-		if err != nil {
+		if err := a.applyKeys(reply); err != nil {
 			return err
 		}
-		a.keys.Store(keyring)
-		a.log.Info("packet keys in force", zap.Uint64("serial", reply.KeySerial))
 	}
 	if after.record.Serial != before.record.Serial {
 		a.applyContract(after)
@@ -158,6 +162,17 @@
 	return nil
 }
 
+// applyKeys puts the packet keys of an entry's reply in force.
+func (a *Agent) applyKeys(reply *ctrl.ServiceReply) error {
+	keyring, err := reply.Keys.Open(a.opts.Secret)
+	if err != nil {
+		return err
+	}
+	a.keys.Store(keyring)
+	a.log.Info("packet keys in force", zap.Uint64("serial", reply.KeySerial))
+	return nil
+}
+
 // applyContract applies the limits of a contract, and starts draining if the contract is retired.
 func (a *Agent) applyContract(state *serviceState) {
 	c := &state.record.Contract
