agent: packet keys that can't be opened aren't recorded as in force

Would be seen: after one reply whose packet keys can't be opened, the agent never fetches them again: it drops the envelopes that entries seal with the newer key, and its flows break until it is restarted.

Cause: the serial of the keys was stored before they were opened, and acknowledgements with the same serial request nothing.

Evidence: TestKeysThatCantBeOpenedAreNotInForce failed on the code before: serial 7 in force, not 0.

Now the serial is stored only when the keys are open; the rest of the reply is applied in either case, and the error is returned as before.

go test ./internal/agent passed.

--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -149,17 +149,18 @@
 func (a *Agent) applyReply(reply *ctrl.ServiceReply) error {
 	a.applyMu.Lock()
 	defer a.applyMu.Unlock()
-	before, after := a.service.update(reply)
-	if reply.KeySerial > before.keySerial {
-		if err := a.applyKeys(reply); err != nil {
-			return err
+	var keysErr error
+	if reply.KeySerial > a.service.get().keySerial {
+		if keysErr = a.applyKeys(reply); keysErr != nil {
+			reply.KeySerial = 0 // The keys in force stay, and the next acknowledgement requests these again.
 		}
 	}
+	before, after := a.service.update(reply)
 	if after.record.Serial != before.record.Serial {
 		a.applyContract(after)
 	}
 	a.peers.setAgents(after.agents, a.controlLink.Addr())
-	return nil
+	return keysErr
 }
 
 // applyKeys puts the packet keys of an entry's reply in force.
--- a/internal/agent/membership_test.go
+++ b/internal/agent/membership_test.go
@@ -7,8 +7,25 @@
 	"github.com/matryer/is"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/journ"
 )
 
+// TestKeysThatCantBeOpenedAreNotInForce guards against an agent that never fetches packet keys again after it once failed to
+// open them.
+func TestKeysThatCantBeOpenedAreNotInForce(t *testing.T) {
+	is := is.New(t)
+	a := newTestAgent(t, "http://127.0.0.1:1")
+	sealed, err := a.opts.Secret.Seal(fleet.Key{Number: 1})
+	is.NoErr(err)
+	damaged := fleet.SealedKey{Number: 1, Box: []byte("damaged")}
+	is.True(a.applyReply(&ctrl.ServiceReply{KeySerial: 7, Keys: journ.Keys{Sealed: []fleet.SealedKey{damaged}, Current: 1}}) != nil)
+	is.Equal(a.service.get().keySerial, uint64(0))
+	is.NoErr(a.applyReply(&ctrl.ServiceReply{KeySerial: 7, Keys: journ.Keys{Sealed: []fleet.SealedKey{sealed}, Current: 1}}))
+	is.True(a.keys.Load() != nil)
+	is.Equal(a.service.get().keySerial, uint64(7))
+}
+
 // TestConcurrentRepliesDontRestoreOlderContract guards against a reply with an older contract that replaces a newer one because
 // both are merged into the same state.
 func TestConcurrentRepliesDontRestoreOlderContract(t *testing.T) {
