memb: configurations are reported in the order of their versions

Would be seen: an entry or agent discards open flows after the idle timeout of an older configuration though a newer, longer one is in force, so that its flow table has to be rebuilt by searches.

Cause: the store's poll, the watch and a fetch from another process put configurations in force on their own goroutines, and each called OnConfigChange after it had released the lock: the call for the older one could come last, and late counted as current.

Evidence: TestConfigChangesAreReportedInOrder failed on the code before: version 2 was reported before 1.

Now a configuration is put in force and reported under one lock. The callbacks take only the lock of the relay or agent, which never calls adopt.

go test -race ./internal/memb passed.

--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -278,3 +279,37 @@
 	n.onState(requester.Control, ctrl.State{Record: starting, RequestPeers: true})
 	is.Equal(sent()-before, int64(1+maxHelloRecords/ctrl.MaxPeerRecords))
 }
+
+// TestConfigChangesAreReportedInOrder guards against an older configuration, such as one with a shorter idle timeout of flows,
+// that is applied after a newer one.
+func TestConfigChangesAreReportedInOrder(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	var mu sync.Mutex
+	var versions []uint64
+	older, newer := make(chan struct{}), make(chan struct{})
+	n.opts.OnConfigChange = func(table *route.Table) {
+		if table.Version == 1 {
+			close(older)
+			select {
+			case <-newer: // The newer configuration is reported first.
+			case <-time.After(200 * time.Millisecond):
+			}
+		}
+		mu.Lock()
+		versions = append(versions, table.Version)
+		mu.Unlock()
+		if table.Version == 2 {
+			close(newer)
+		}
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.adopt(&route.Table{Version: 1}, time.Now(), "store")
+	}()
+	<-older
+	n.adopt(&route.Table{Version: 2}, time.Now(), "process")
+	<-done
+	is.Equal(versions, []uint64{1, 2})
+}
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -88,7 +88,7 @@
 	MaxConfigAge time.Duration
 	// Load returns the load of an agent's backend server; nil at an entry.
 	Load func() ctrl.ServerLoad
-	// OnConfigChange is called with each newer configuration, if set.
+	// OnConfigChange is called with each newer configuration, in the order of their versions, if set.
 	OnConfigChange func(*route.Table)
 	Log            *zap.Logger
 	Vars           *expvar.Map
@@ -98,6 +98,9 @@
 type Node struct {
 	opts Options
 
+	// adoptMu is held while a configuration is put in force, so that OnConfigChange is called in the order of versions.
+	adoptMu sync.Mutex
+
 	mu sync.Mutex
 	// self is the node's own record.
 	self  view.Record
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -162,6 +162,8 @@
 // adopt puts a configuration in force unless the one in force is as new or newer. confirmed is when it was known
 // to be the newest, the zero time if unknown; source is for the log.
 func (n *Node) adopt(table *route.Table, confirmed time.Time, source string) {
+	n.adoptMu.Lock()
+	defer n.adoptMu.Unlock()
 	n.mu.Lock()
 	n.freshness.Confirm(table.Version, confirmed, rand.Float64())
 	if table.Version <= n.configVersion() && n.table != nil {
