agent: a peer voids a request only in the incarnation that got it

Would be seen: an order that isn't idempotent runs twice. Its agent hands it over to a peer that restarts at the same address while the request runs, gets no reply, and asks the new process to void it.

Cause: the new process doesn't know the request, took that for "has not begun" and confirmed that it won't run, so the sender ran it elsewhere.

Evidence: TestRestartedPeerDoesntVoidRequest failed on the code before: outcome 2 (not run), not 4 (unknown).

Now the request to void names the incarnation that the sender knows from the peer's record or from the ticket; any other incarnation replies 404, and the outcome is unknown. A sender that doesn't know the incarnation gets 404 too. The two tests in which a peer voids a request, or says that it has begun, therefore make the peer known to the sender first, as in a deployment; what they check is unchanged.

--- a/internal/agent/call.go
+++ b/internal/agent/call.go
@@ -40,6 +40,8 @@
 	mayHaveRun bool
 	// handoverID identifies a request that a peer handed over; it is empty for a caller's request.
 	handoverID string
+	// issuerIncarnation is the incarnation of the agent that issued the request's ticket, if the request is handed over to it.
+	issuerIncarnation uint64
 }
 
 // handler handles a call.
--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -38,6 +38,8 @@
 type attempt struct {
 	id   string
 	peer netip.AddrPort
+	// incarnation is that of the peer's process that gets the request, as far as this agent knows; 0 if it doesn't.
+	incarnation uint64
 	// connected is true if the request may have been sent, accepted if the peer has accepted, rejected or begun it, and
 	// voided if the peer has confirmed that it won't run it.
 	connected, accepted, voided atomic.Bool
@@ -52,7 +54,10 @@
 	id := strconv.FormatUint(a.ownRecord().Incarnation, 36) + "-" + a.controlLink.Addr().String() + "-" + strconv.FormatUint(a.lastHandoverID.Add(1), 36)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	try := &attempt{id: id, peer: peer}
+	try := &attempt{id: id, peer: peer, incarnation: a.peers.incarnation(peer)}
+	if m == modeTicket {
+		try.incarnation = c.issuerIncarnation
+	}
 	timer := time.AfterFunc(acceptTimeout, func() {
 		if !try.accepted.Load() && (!try.connected.Load() || !a.hasBegun(try) || c.idempotent) {
 			cancel()
@@ -63,7 +68,7 @@
 	resp, err := a.peers.transport.RoundTrip(req)
 	if err != nil {
 		res := result{outcome: outcomeUnknown, err: errors.Wrapf(err, "agent: peer %s", peer)}
-		if !try.connected.Load() || try.voided.Load() || (!try.accepted.Load() && !a.hasBegun(try) && try.voided.Load()) {
+		if a.hasNotRun(try) {
 			res.outcome = outcomeNotRun
 		}
 		return res
@@ -92,9 +97,17 @@
 	}
 }
 
+// hasNotRun reports whether the request of a failed attempt certainly hasn't run and won't run.
+func (a *Agent) hasNotRun(try *attempt) bool {
+	if !try.connected.Load() || try.voided.Load() {
+		return true
+	}
+	return !try.accepted.Load() && !a.hasBegun(try) && try.voided.Load()
+}
+
 // hasBegun asks the peer of an attempt to void the request, and reports whether the peer has begun it already.
 func (a *Agent) hasBegun(try *attempt) bool {
-	switch a.voidAtPeer(try.peer, try.id) {
+	switch a.voidAtPeer(try) {
 	case http.StatusOK:
 		try.voided.Store(true)
 	case http.StatusConflict:
@@ -119,11 +132,13 @@
 }
 
 // voidAtPeer sends a peer a request, over a new connection, to void an earlier request. It returns the status of the response:
-// http.StatusOK if the earlier one won't run, http.StatusConflict if it has begun, and 0 if there is no response.
-func (a *Agent) voidAtPeer(peer netip.AddrPort, id string) int {
+// http.StatusOK if the earlier one won't run, http.StatusConflict if it has begun, http.StatusNotFound if another process than
+// the one that got it replies, and 0 if there is no response.
+func (a *Agent) voidAtPeer(try *attempt) int {
 	ctx, cancel := context.WithTimeout(context.Background(), voidTimeout)
 	defer cancel()
-	u := url.URL{Scheme: "https", Host: peer.String(), Path: voidPath, RawQuery: url.Values{"id": {id}}.Encode()}
+	query := url.Values{"id": {try.id}, "incarnation": {strconv.FormatUint(try.incarnation, 10)}}
+	u := url.URL{Scheme: "https", Host: try.peer.String(), Path: voidPath, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), nil)
 	if err != nil {
 		return 0
@@ -142,17 +157,25 @@
 func (a *Agent) peerHandler() http.Handler {
 	handle := chain(a.handleCall, a.filterCount, a.filterPeer, a.filterContract, a.filterBody, a.filterDeadline, a.filterTicket)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+voidPath, func(w http.ResponseWriter, r *http.Request) {
-		if !a.requests.void(r.URL.Query().Get("id")) {
-			w.WriteHeader(http.StatusConflict)
-		}
-	})
+	mux.HandleFunc("POST "+voidPath, a.handleVoid)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		handle(&call{w: &responseWriter{ResponseWriter: w}, r: r, mode: mode(r.Header.Get(headerMode)), handoverID: r.Header.Get(headerHandover)})
 	})
 	return mux
 }
 
+// handleVoid voids a request of a peer that was sent to this incarnation. One that was sent to an earlier incarnation may have
+// run.
+func (a *Agent) handleVoid(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	switch {
+	case query.Get("incarnation") != strconv.FormatUint(a.ownRecord().Incarnation, 10):
+		w.WriteHeader(http.StatusNotFound)
+	case !a.requests.void(query.Get("id")):
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
 // filterPeer rejects a request that wasn't meant for this agent's service, that has begun or was voided, that arrives while
 // the agent is draining and isn't handed over because of its ticket, or that arrives after the agent has drained.
 func (a *Agent) filterPeer(next handler) handler {
--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -92,6 +92,7 @@
 	peer.http1.Handler = silencer.wrap(peer.http1.Handler)
 	peer.http1.ConnContext = silencer.context
 	go func() { _ = peer.http1.Serve(peer.controlListener) }()
+	a.peers.setAgents([]view.Record{peer.ownRecord()}, a.Control())
 
 	c, _ := newTestCall(a, http.MethodPost)
 	res := a.handOver(t.Context(), c, peer.controlLink.Addr(), modeFreeSlot)
@@ -138,12 +139,30 @@
 	next := peer.http1.Handler
 	peer.http1.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { next.ServeHTTP(finalOnly{w}, r) })
 	go func() { _ = peer.http1.Serve(peer.controlListener) }()
+	a.peers.setAgents([]view.Record{peer.ownRecord()}, a.Control())
 	c, rec := newTestCall(a, http.MethodPost)
 	res := a.handOver(t.Context(), c, peer.controlLink.Addr(), modeFreeSlot)
 	is.Equal(res.outcome, outcomeCompleted)
 	is.Equal(rec.Code, http.StatusOK)
 }
 
+// TestRestartedPeerDoesntVoidRequest guards against a request that runs twice: a peer that has restarted doesn't know whether
+// the request has run before, so it must not confirm that it hasn't.
+func TestRestartedPeerDoesntVoidRequest(t *testing.T) {
+	is := is.New(t)
+	a, peer := newTestAgent(t, "http://127.0.0.1:1"), newTestAgent(t, "http://127.0.0.1:1")
+	var silencer connSilencer
+	silencer.lastSilent.Store(1) // The request is lost with the process that got it; the next one replies.
+	peer.http1.Handler = silencer.wrap(peer.http1.Handler)
+	peer.http1.ConnContext = silencer.context
+	go func() { _ = peer.http1.Serve(peer.controlListener) }()
+	before := peer.ownRecord()
+	before.Incarnation--
+	a.peers.setAgents([]view.Record{before}, a.Control())
+	c, _ := newTestCall(a, http.MethodPost)
+	is.Equal(a.handOver(t.Context(), c, peer.controlLink.Addr(), modeFreeSlot).outcome, outcomeUnknown)
+}
+
 func TestVoidedRequestNeverBegins(t *testing.T) {
 	is := is.New(t)
 	tracker := newRequestTracker()
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -177,6 +177,12 @@
 	s.update(control, func(p *peer) { p.passedFlows++ })
 }
 
+// incarnation returns the incarnation of the peer at a control address, or 0 if it isn't known.
+func (s *peerSet) incarnation(control netip.AddrPort) (incarnation uint64) {
+	s.update(control, func(p *peer) { incarnation = p.record.Incarnation })
+	return incarnation
+}
+
 // update calls f for the peer at a control address, if it is known.
 func (s *peerSet) update(control netip.AddrPort, f func(*peer)) {
 	s.mu.Lock()
--- a/internal/agent/tickets.go
+++ b/internal/agent/tickets.go
@@ -172,6 +172,7 @@
 	case t.Agent == self.Control || c.mode == modeTicket || a.service.get().hasEnded(t.Agent, t.Incarnation):
 		a.refuseIssuerEnded(c)
 	default:
+		c.issuerIncarnation = t.Incarnation
 		a.handOverToIssuer(c, t.Agent)
 	}
 }
