--- a/internal/agent/handover.go
+++ b/internal/agent/handover.go
@@ -34,41 +34,46 @@
 	voidTimeout = 500 * time.Millisecond
 )
 
+// attempt is the state of one attempt to hand a request over.
+type attempt struct {
+	id   string
+	peer netip.AddrPort
+	// incarnation is that of the peer's process that gets the request, as far as this agent knows; 0 if it doesn't.
+	incarnation uint64
+	// connected is true if the request may have been sent, accepted if the peer has accepted, rejected or begun it, and
+	// voided if the peer has confirmed that it won't run it.
+	connected, accepted, voided atomic.Bool
+}
+
 // handOver sends a call to a peer and writes the peer's response to the caller.
 //
-// The peer accepts or rejects the request at once. If it does neither within acceptTimeout, the connection may have become
-// unresponsive. A second request, over a new connection, then voids the first one, so that it certainly doesn't run.
+// The peer accepts or rejects the request at once. If nothing is received within acceptTimeout, the connection may have become
+// unresponsive. A second request, over a new connection, then voids the first one, so that it certainly doesn't run. If the
+// peer replies that the first one has begun, its response is awaited, unless it may be sent again since it is idempotent.
 func (a *Agent) handOver(ctx context.Context, c *call, peer netip.AddrPort, m mode) result {
 	id := strconv.FormatUint(a.ownRecord().Incarnation, 36) + "-" + a.controlLink.Addr().String() + "-" + strconv.FormatUint(a.lastHandoverID.Add(1), 36)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var accepted, connected atomic.Bool
+	try := &attempt{id: id, peer: peer, incarnation: a.peers.incarnation(peer)}
+	if m == modeTicket {
+		try.incarnation = c.issuerIncarnation
+	}
 	timer := time.AfterFunc(acceptTimeout, func() {
-		if !accepted.Load() {
+		if !try.accepted.Load() && (!try.connected.Load() || !a.hasBegun(try) || c.idempotent) {
 			cancel()
 		}
 	})
 	defer timer.Stop()
-	trace := &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
-			if code == http.StatusProcessing {
-				accepted.Store(true)
-				a.recordLoadHeader(peer, http.Header(h))
-			}
-			return nil
-		},
-	}
-	req := a.newHandoverRequest(httptrace.WithClientTrace(ctx, trace), c, peer, m, id)
+	req := a.newHandoverRequest(httptrace.WithClientTrace(ctx, a.attemptTrace(try)), c, peer, m, id)
 	resp, err := a.peers.transport.RoundTrip(req)
 	if err != nil {
 		res := result{outcome: outcomeUnknown, err: errors.Wrapf(err, "agent: peer %s", peer)}
-		if !connected.Load() || (!accepted.Load() && a.voidAtPeer(peer, id)) {
+		if a.hasNotRun(try) {
 			res.outcome = outcomeNotRun
 		}
 		return res
 	}
-	accepted.Store(true)
+	try.accepted.Store(true)
 	defer func() { _ = resp.Body.Close() }()
 	a.recordLoadHeader(peer, resp.Header)
 	if resp.Header.Get(headerRejected) != "" {
@@ -78,6 +83,40 @@
 	return writeResponse(c, resp)
 }
 
+// attemptTrace returns the trace that records whether a request was sent and accepted.
+func (a *Agent) attemptTrace(try *attempt) *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { try.connected.Store(true) },
+		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if code == http.StatusProcessing {
+				try.accepted.Store(true)
+				a.recordLoadHeader(try.peer, http.Header(h))
+			}
+			return nil
+		},
+	}
+}
+
+// hasNotRun reports whether the request of a failed attempt certainly hasn't run and won't run.
+func (a *Agent) hasNotRun(try *attempt) bool {
+	if !try.connected.Load() || try.voided.Load() {
+		return true
+	}
+	return !try.accepted.Load() && !a.hasBegun(try) && try.voided.Load()
+}
+
+// hasBegun asks the peer of an attempt to void the request, and reports whether the peer has begun it already.
+func (a *Agent) hasBegun(try *attempt) bool {
+	switch a.voidAtPeer(try) {
+	case http.StatusOK:
+		try.voided.Store(true)
+	case http.StatusConflict:
+		try.accepted.Store(true)
+		return true
+	}
+	return false
+}
+
 func (a *Agent) newHandoverRequest(ctx context.Context, c *call, peer netip.AddrPort, m mode, id string) *http.Request {
 	req := newOutgoingRequest(ctx, c, &url.URL{Scheme: "https", Host: peer.String()})
 	req.Header.Set(headerHandover, id)
@@ -92,43 +131,53 @@
 	return req
 }
 
-// voidAtPeer sends a peer a request, over a new connection, to void an earlier request. It reports whether the peer
-// confirmed that the earlier one won't run.
-func (a *Agent) voidAtPeer(peer netip.AddrPort, id string) bool {
+// voidAtPeer sends a peer a request, over a new connection, to void an earlier request. It returns the status of the response:
+// http.StatusOK if the earlier one won't run, http.StatusConflict if it has begun, http.StatusNotFound if another process than
+// the one that got it replies, and 0 if there is no response.
+func (a *Agent) voidAtPeer(try *attempt) int {
 	ctx, cancel := context.WithTimeout(context.Background(), voidTimeout)
 	defer cancel()
-	u := url.URL{Scheme: "https", Host: peer.String(), Path: voidPath, RawQuery: url.Values{"id": {id}}.Encode()}
+	query := url.Values{"id": {try.id}, "incarnation": {strconv.FormatUint(try.incarnation, 10)}}
+	u := url.URL{Scheme: "https", Host: try.peer.String(), Path: voidPath, RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u.String(), nil)
 	if err != nil {
-		return false
+		return 0
 	}
 	transport := a.peers.transport.Clone()
 	transport.DisableKeepAlives = true
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return 0
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode
 }
 
 // peerHandler returns the handler for requests of peers.
 func (a *Agent) peerHandler() http.Handler {
 	handle := chain(a.handleCall, a.filterCount, a.filterPeer, a.filterContract, a.filterBody, a.filterDeadline, a.filterTicket)
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+voidPath, func(w http.ResponseWriter, r *http.Request) {
-		if !a.requests.void(r.URL.Query().Get("id")) {
-			w.WriteHeader(http.StatusConflict)
-		}
-	})
+	mux.HandleFunc("POST "+voidPath, a.handleVoid)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		handle(&call{w: &responseWriter{ResponseWriter: w}, r: r, mode: mode(r.Header.Get(headerMode)), handoverID: r.Header.Get(headerHandover)})
 	})
 	return mux
 }
 
-// filterPeer rejects a request that wasn't meant for this agent's service, that has begun or was voided, or that arrives
-// while the agent is draining and isn't handed over because of its ticket.
+// handleVoid voids a request of a peer that was sent to this incarnation. One that was sent to an earlier incarnation may have
+// run.
+func (a *Agent) handleVoid(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	switch {
+	case query.Get("incarnation") != strconv.FormatUint(a.ownRecord().Incarnation, 10):
+		w.WriteHeader(http.StatusNotFound)
+	case !a.requests.void(query.Get("id")):
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// filterPeer rejects a request that wasn't meant for this agent's service, that has begun or was voided, that arrives while
+// the agent is draining and isn't handed over because of its ticket, or that arrives after the agent has drained.
 func (a *Agent) filterPeer(next handler) handler {
 	return func(c *call) {
 		service, _ := a.identity()
@@ -147,6 +196,7 @@
 			a.reject(c)
 			return
 		}
+		defer a.requests.end()
 		if c.mode != modeFreeSlot {
 			a.accept(c)
 		}
--- a/internal/agent/membership.go
+++ b/internal/agent/membership.go
@@ -26,6 +26,11 @@
 	maxJoinEntries = 3
 	// goneHeartbeats is the number of heartbeats with which a stopping agent announces its end, as datagrams may be lost.
 	goneHeartbeats = 3
+	// goneNotice is how long a stopping agent rejects requests of peers after it has announced its end. Peers learn of the end
+	// when their next heartbeat is acknowledged.
+	goneNotice = 2 * heartbeatInterval
+	// shutdownTimeout limits the wait for the last rejections to be sent.
+	shutdownTimeout = time.Second
 )
 
 // join fetches the service state from entries and creates the agent's own record. It retries until it succeeds or ctx is
@@ -137,19 +142,35 @@
 	if err := a.controlClient.Call(ctx, addr, "Entry.Service", ctrl.ServiceArgs{Service: a.opts.Service}, &reply); err != nil {
 		return err
 	}
-	before, after := a.service.update(&reply)
-	if reply.KeySerial > before.keySerial {
-		keyring, err := reply.Keys.Open(a.opts.Secret)
-		if err != nil {
-			return err
+	return a.applyReply(&reply)
+}
+
+// applyReply puts the service state of an entry's reply in force. Replies of several entries may arrive at the same time.
+func (a *Agent) applyReply(reply *ctrl.ServiceReply) error {
+	a.applyMu.Lock()
+	defer a.applyMu.Unlock()
+	var keysErr error
+	if reply.KeySerial > a.service.get().keySerial {
+		if keysErr = a.applyKeys(reply); keysErr != nil {
+			reply.KeySerial = 0 // The keys in force stay, and the next acknowledgement requests these again.
 		}
-		a.keys.Store(keyring)
-		a.log.Info("packet keys in force", zap.Uint64("serial", reply.KeySerial))
 	}
+	before, after := a.service.update(reply)
 	if after.record.Serial != before.record.Serial {
 		a.applyContract(after)
 	}
 	a.peers.setAgents(after.agents, a.controlLink.Addr())
+	return keysErr
+}
+
+// applyKeys puts the packet keys of an entry's reply in force.
+func (a *Agent) applyKeys(reply *ctrl.ServiceReply) error {
+	keyring, err := reply.Keys.Open(a.opts.Secret)
+	if err != nil {
+		return err
+	}
+	a.keys.Store(keyring)
+	a.log.Info("packet keys in force", zap.Uint64("serial", reply.KeySerial))
 	return nil
 }
 
@@ -285,26 +306,46 @@
 	a.reportLoad()
 }
 
-// drain waits for the requests in progress to end, for at most the contract's drain time, and closes the flows.
-func (a *Agent) drain(ctx context.Context) {
+// drain waits for the requests of callers and peers in progress to end, for at most the contract's drain time, and closes the
+// flows and the connections of peers.
+func (a *Agent) drain(abortCtx context.Context) {
 	a.stopping.Store(true)
 	a.setDraining(true, "this process was asked to stop")
 	select {
-	case <-ctx.Done():
+	case <-abortCtx.Done():
 	case <-time.After(a.opts.DrainDelay):
 	}
 	limit := a.service.get().record.Contract.Drain.Std()
 	a.log.Info("closing flows when their requests have ended", zap.Int64("flows", a.openFlows.Load()), zap.Duration("limit", limit))
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeout(abortCtx, limit)
 	defer cancel()
 	if err := a.http3.Shutdown(ctx); err != nil {
 		a.log.Warn("the drain time is over; requests in progress are cut", zap.Error(err), zap.Int64("flows", a.openFlows.Load()))
 	}
+	if err := a.requests.closeWhenIdle(ctx); err != nil {
+		a.log.Warn("the drain time is over; requests of peers in progress are cut", zap.Error(err))
+	}
 	a.scheduler.awaitIdle(ctx)
 	a.announceGone()
+	a.closeToPeers(abortCtx)
 	a.log.Info("agent has drained")
 }
 
+// closeToPeers ends the server for requests of peers. Until then it rejects their requests, so that they know that those
+// haven't run: a request on a connection that is closed meanwhile counts as one that may have run.
+func (a *Agent) closeToPeers(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(goneNotice):
+	}
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
+	defer cancel()
+	if err := a.http1.Shutdown(ctx); err != nil {
+		a.log.Warn("connections of peers are cut", zap.Error(err))
+	}
+}
+
 // announceGone notifies the entries that the agent has ended.
 func (a *Agent) announceGone() {
 	a.mu.Lock()
