Soak: agents roll together, some flows are idle, stray packets are checked

Change: a fault that restarts all agents in overlapping planned stops, three users a client with pauses of up to 4 s, and a violation when three packets of an open flow reach other servers and none its own for two seconds, with no fault but planned restarts.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -71,6 +71,9 @@
 // Opened does nothing.
 func (NopWatcher) Opened(*fakes.Server, netip.AddrPort, netip.AddrPort) {}
 
+// Received does nothing.
+func (NopWatcher) Received(*fakes.Server, netip.AddrPort, netip.AddrPort, bool) {}
+
 // RequestStarted does nothing.
 func (NopWatcher) RequestStarted(*fakes.Server, string) {}
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -39,10 +39,18 @@
 	runCounts map[string]int
 	// routes holds the history of each service address.
 	routes map[netip.AddrPort]*routeHistory
+	// strays has the flows whose latest packets reached other servers than their own, by client and service address.
+	strays map[[2]netip.AddrPort]*stray
 	// stats is keyed by the second since the start of the run.
 	stats map[int]*secondStats
 }
 
+// stray counts the packets of a flow that reached other servers since its own got one.
+type stray struct {
+	count int
+	since time.Time
+}
+
 // routeHistory says when the route of an address was added and removed and which service it leads to. removed is zero
 // while the route exists.
 type routeHistory struct {
@@ -57,7 +65,7 @@
 func newChecker() *checker {
 	return &checker{
 		started: time.Now(), runCounts: make(map[string]int), routes: make(map[netip.AddrPort]*routeHistory),
-		stats: make(map[int]*secondStats),
+		strays: make(map[[2]netip.AddrPort]*stray), stats: make(map[int]*secondStats),
 	}
 }
 
@@ -131,6 +139,27 @@
 	}
 }
 
+// recordStray records a packet of an open flow at another server than its own. It returns how many have come, and since when.
+func (c *checker) recordStray(client, service netip.AddrPort, now time.Time) (count int, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := [2]netip.AddrPort{client, service}
+	s := c.strays[key]
+	if s == nil {
+		s = &stray{since: now}
+		c.strays[key] = s
+	}
+	s.count++
+	return s.count, s.since
+}
+
+// endStray records that a packet of a flow reached its server, or that the flow isn't checked now.
+func (c *checker) endStray(client, service netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.strays, [2]netip.AddrPort{client, service})
+}
+
 // historyOf returns a copy of the route history of an address.
 func (c *checker) historyOf(addr netip.AddrPort) (routeHistory, bool) {
 	c.mu.Lock()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -151,6 +151,38 @@
 	is.Equal(d.takeViolations(), "") // No server holds this flow.
 	d.Reset(d.Entries[0].IP, client, service, true)
 	is.Equal(d.takeViolations(), openFlowsKept)
+
+	is.NoErr(d.StartServer(d.Agents[1]))
+	other := d.Server(d.Agents[1])
+	for range maxStrayPackets {
+		d.Received(other, client, service, false)
+	}
+	is.Equal(d.takeViolations(), "")
+	for _, s := range d.check.strays {
+		s.since = s.since.Add(-maxStrayTime)
+	}
+	d.Received(other, client, service, false)
+	is.Equal(d.takeViolations(), openFlowsKept) // The flow's packets reach only another server.
+}
+
+// Packets of an open flow that reach only another server are reported, and so is nothing while the flow's server gets some.
+func TestStrayPacketsAreChecked(t *testing.T) {
+	is := is.New(t)
+	d := newTestDeployment(t, 32)
+	client, service := clientAddress, deskAddress
+	now := time.Now()
+	for i := range maxStrayPackets {
+		count, since := d.check.recordStray(client, service, now.Add(time.Duration(i)*time.Second))
+		is.Equal(count, i+1)
+		is.Equal(since, now)
+	}
+	s := startServer(t, d, nil)
+	d.Received(s, client, service, true)
+	count, _ := d.check.recordStray(client, service, now)
+	is.Equal(count, 1)
+	d.Received(s, client, service, false)
+	is.Equal(len(d.check.strays), 0) // No other server holds the flow.
+	is.Equal(d.takeViolations(), "")
 }
 
 // startServer starts the backend server of the first agent. If agent isn't nil, it takes the place of the agent's HTTP
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -15,6 +15,10 @@
 	// was acknowledged, maxApplyTime how long a configuration may take until it is in force.
 	maxDrainTime = 3 * time.Second
 	maxApplyTime = local.ApplyTimeout
+	// maxStrayTime is how long packets of an open flow may reach other servers while none reaches its own, and maxStrayPackets
+	// how many of them may do so for longer.
+	maxStrayTime    = 2 * time.Second
+	maxStrayPackets = 2
 	// slotsPerServer is the number of requests that a backend server runs at a time, serviceTime the duration of each.
 	slotsPerServer = 4
 	serviceTime    = 10 * time.Millisecond
@@ -76,6 +80,33 @@
 	}
 }
 
+// Received checks that packets of an open flow reach the server that holds it.
+func (d *deployment) Received(s *fakes.Server, client, service netip.AddrPort, held bool) {
+	now := time.Now()
+	if held || !d.heldElsewhere(s, client, service, now) {
+		d.check.endStray(client, service)
+		return
+	}
+	if count, since := d.check.recordStray(client, service, now); count > maxStrayPackets && now.Sub(since) > maxStrayTime {
+		d.check.endStray(client, service)
+		d.check.recordViolation(openFlowsKept, "%d packets of the flow from %s to %s reached other servers and none its own for %s",
+			count, client, service, now.Sub(since))
+	}
+}
+
+// heldElsewhere reports whether another server than s holds a flow, without a fault but planned restarts at any process.
+func (d *deployment) heldElsewhere(s *fakes.Server, client, service netip.AddrPort, now time.Time) bool {
+	held := false
+	for _, p := range d.Processes() {
+		if !p.Undisturbed(now, settleTime) {
+			return false
+		}
+		other := d.Server(p)
+		held = held || other != nil && other != s && other.HoldsFlow(client, service)
+	}
+	return held
+}
+
 // maxOpenDelay is how long after the first SYN of a flow a retransmission of it may still arrive at a server.
 const maxOpenDelay = 700 * time.Millisecond
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -31,6 +31,7 @@
 		{"roll agents", func(ctx context.Context, d *deployment, r *rand.Rand) {
 			d.rollProcesses(ctx, r, randomSubset(r, d.Agents))
 		}},
+		{"roll all agents", func(ctx context.Context, d *deployment, r *rand.Rand) { d.rollTogether(ctx, r, d.Agents) }},
 		{"pause", func(ctx context.Context, d *deployment, r *rand.Rand) {
 			d.pauseProcesses(ctx, r, randomSubset(r, d.Processes()))
 		}},
@@ -111,6 +112,23 @@
 	}
 }
 
+// rollTogether restarts processes gracefully, each at a time of its own within a second, so that the restarts overlap. It does
+// so twice.
+func (d *deployment) rollTogether(ctx context.Context, r *rand.Rand, processes []*local.Process) {
+	for range 2 {
+		var wg sync.WaitGroup
+		for _, p := range processes {
+			seed := r.Uint64()
+			wg.Go(func() {
+				r := rand.New(rand.NewPCG(seed, 0))
+				waitRandom(ctx, r, time.Millisecond, time.Second)
+				d.rollProcesses(ctx, r, []*local.Process{p})
+			})
+		}
+		wg.Wait()
+	}
+}
+
 func (d *deployment) pauseProcesses(ctx context.Context, r *rand.Rand, processes []*local.Process) {
 	for _, p := range processes {
 		p.Signal(syscall.SIGSTOP)
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -19,11 +19,19 @@
 	latencyObjective = 250 * time.Millisecond
 	requestTimeout   = 3 * time.Second
 	// maxAttempts is how often a client sends a request. Each retry opens a new flow.
-	maxAttempts = 3
+	maxAttempts    = 3
+	usersPerClient = 5
 )
 
-// runTraffic runs two virtual users on each client until ctx ends. One keeps a flow open for many safe requests, the
-// other opens a flow for each unsafe request.
+// minPause, maxPause and maxLongPause bound the pauses between the requests of a user, and of one whose flow is mostly idle.
+const (
+	minPause     = 20 * time.Millisecond
+	maxPause     = 140 * time.Millisecond
+	maxLongPause = 4 * time.Second
+)
+
+// runTraffic runs virtual users on each client until ctx ends. Some keep a flow open for many safe requests, one with short
+// pauses and the others with long ones, and one opens a flow for each unsafe request.
 func (d *deployment) runTraffic(ctx context.Context) error {
 	var wg sync.WaitGroup
 	var requestCounter atomic.Int64
@@ -32,8 +40,13 @@
 		if err != nil {
 			return err
 		}
-		for j := range 2 {
-			u := &virtualUser{d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: j == 0, requestCounter: &requestCounter}
+		for j := range usersPerClient {
+			u := &virtualUser{
+				d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: j != 1, maxPause: maxPause, requestCounter: &requestCounter,
+			}
+			if j > 1 {
+				u.maxPause = maxLongPause
+			}
 			wg.Go(func() { u.run(ctx) })
 		}
 	}
@@ -49,6 +62,8 @@
 	// reuseFlow makes the user send safe requests and keep its flow until a request fails. Otherwise it sends unsafe
 	// requests and opens a flow for each.
 	reuseFlow bool
+	// maxPause is the longest pause between two requests.
+	maxPause time.Duration
 	// requestCounter numbers the requests of all users.
 	requestCounter *atomic.Int64
 	// flow is the open flow, nil if there is none.
@@ -60,7 +75,7 @@
 		u.sendRequest(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Duration(20+rand.IntN(120)) * time.Millisecond):
+		case <-time.After(minPause + rand.N(u.maxPause-minPause)):
 		}
 	}
 	if u.flow != nil {
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -34,6 +34,8 @@
 	{"planned", 4, "roll entries,roll agents,server replaced", 8 * time.Second, "planned operations alone break no flow"},
 	{"agents", 4, "roll agents", 8 * time.Second,
 		"flows learned before a server's first heartbeat were attributed to an earlier start of the server, and reset"},
+	{"agents-together", 21, "roll all agents,roll entries", 8 * time.Second,
+		"packets of open flows reached only other servers, since lists of flows lacked some and probes waited for free slots"},
 }
 
 // TestSoak fails if a run of the soak finds a violation.
