memb: an agent that other entries hear isn't lost

What callers would see: a reset of an open flow though its agent and server are sound, and new packets of its flows at other servers. Cause: an entry removed an agent after 30 s without a heartbeat even if other entries contradicted the silence all the while. Its flows were then searched without it, and were reset once all others denied them. Evidence: TestAgentHeardByOthersIsNotLost failed before: the agent counted as dead. Change: the time until an agent is lost counts from the last heartbeat or the last contradiction, whichever is later. A contradiction comes only from an entry that receives heartbeats itself or knows of a planned stop, so that entries can't keep a failed agent by repeating each other; it is lost 30 s after the last one. Result: go test ./internal/memb ./internal/alive passes.

--- a/internal/alive/alive.go
+++ b/internal/alive/alive.go
@@ -91,8 +91,10 @@
 	// failed is set while the suspect counts as failed; the last confirmation came at confirmedAt.
 	failed      bool
 	confirmedAt time.Time
-	// contradicted is set while the last contradiction has been reported by a Decision.
-	contradicted bool
+	// contradicted is set while the last contradiction has been reported by a Decision. contradictedAt is when the round of the
+	// last contradiction was asked.
+	contradicted   bool
+	contradictedAt time.Time
 	// witnesses are the processes that contradicted in the last round that had a contradiction.
 	witnesses []netip.AddrPort
 }
@@ -223,7 +225,7 @@
 	}
 	switch {
 	case len(witnesses) > 0:
-		s.failed, s.contradicted, s.witnesses = false, true, witnesses
+		s.failed, s.contradicted, s.contradictedAt, s.witnesses = false, true, s.askedAt, witnesses
 	case silent >= others.required() && now.Sub(s.askedAt) <= confirmationLifetime:
 		s.failed, s.contradicted, s.confirmedAt = true, false, s.askedAt
 	}
@@ -235,6 +237,14 @@
 	return s != nil && s.failed
 }
 
+// ContradictedAt returns when others last contradicted the silence of a suspect, or the zero time if they didn't.
+func (t *Tracker) ContradictedAt(addr netip.AddrPort) time.Time {
+	if s := t.suspects[addr]; s != nil {
+		return s.contradictedAt
+	}
+	return time.Time{}
+}
+
 // Trace returns reports in a form for logs.
 func Trace(reports []Report) string {
 	var b strings.Builder
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -275,15 +275,15 @@
 	}
 }
 
-// updateSilentPeers marks peers without a recent heartbeat as silent, and removes those without one for lostTimeout.
-// The caller holds the lock.
+// updateSilentPeers marks peers without a recent heartbeat as silent, and removes those without one for lostTimeout, unless
+// other entries receive some. The caller holds the lock.
 func (n *Node) updateSilentPeers(now time.Time) {
 	for a, p := range n.peers {
 		if !p.silent && now.Sub(p.lastHeartbeat) > silenceTimeout {
 			p.silent = true
 			n.opts.Log.Info("process is silent", zap.Stringer("peer", a), zap.Duration("for", now.Sub(p.lastHeartbeat)))
 		}
-		if now.Sub(p.lastHeartbeat) > lostTimeout {
+		if now.Sub(p.lastHeartbeat) > lostTimeout && now.Sub(n.suspicions.ContradictedAt(a)) > lostTimeout {
 			r, ok := n.view.Get(a)
 			if ok && r.State == view.Up {
 				r.State, r.Since = view.Lost, now
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -11,6 +11,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/alive"
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -211,3 +212,22 @@
 	_, err = ctrl.Encode(codec, ctrl.KindSilenceQuery, ctrl.SilenceQuery{Round: reply.Round, Suspects: reply.Suspects})
 	is.NoErr(err)
 }
+
+// Guards against resets of the flows of an agent that is silent at one entry for longer than lostTimeout, while other entries
+// receive its heartbeats.
+func TestAgentHeardByOthersIsNotLost(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 4)
+	silence(g.entries[0])
+	is.True(!g.deadAtFirst(testPeriod/3, g.entries[1:]...))
+	n := g.entries[0]
+	n.mu.Lock()
+	n.peers[otherAddr].lastHeartbeat = time.Now().Add(-2 * lostTimeout)
+	n.mu.Unlock()
+	is.True(!g.deadAtFirst(testPeriod/3, g.entries[1:]...))
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("desk")})), 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.updateSilentPeers(time.Now().Add(2 * lostTimeout)) // Nobody has contradicted since.
+	is.True(n.peers[otherAddr] == nil)
+}
