memb: an agent that was taken for lost refutes it

What callers would see: an agent that was silent for 30 s, as after a long pause or a cut, gets no new flows from then on until it starts again, and its flows are searched at times: its compact heartbeats are ignored, and the full ones come every second, so that one lost datagram makes it silent again. Cause: the record 'lost' of the same incarnation and epoch takes precedence over 'up'. The process can refute it by a higher epoch, but nobody sent it the record: gossip contains only processes that are up. Evidence: TestLostAgentIsUsedAgain failed before: the agent wasn't ready within 1.5 s. Change: a process that gets a heartbeat with the record of a sender that it holds for lost sends the sender that record, which the sender refutes. It is one datagram per such heartbeat, at most until the new epoch arrives. Result: go test -race ./internal/memb passes.

--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -324,10 +324,14 @@
 	}
 	fetch := newer && !n.fetching
 	n.fetching = n.fetching || fetch
+	record, _ := n.view.Get(state.Record.Packets)
 	n.mu.Unlock()
 	if fetch {
 		go n.fetch(from, state.ConfigVersion)
 	}
+	if record.State == view.Lost {
+		n.sendRecords(from, []view.Record{record}) // The process refutes it.
+	}
 	if state.RequestPeers {
 		n.replyToHello(from, state.Record)
 	}
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -231,3 +231,30 @@
 	n.updateSilentPeers(time.Now().Add(2 * lostTimeout)) // Nobody has contradicted since.
 	is.True(n.peers[otherAddr] == nil)
 }
+
+// Guards against an agent that gets no new flows and whose compact heartbeats are ignored, so that it is silent at times, for
+// as long as it runs after it was lost once, as after a long pause.
+func TestLostAgentIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	entry := newGroup(t, 1).entries[0]
+	agent := newEntry(t, netip.MustParseAddrPort("127.0.0.3:1"), new(memoryDirectory))
+	agent.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+	agent.self.Role, agent.self.Service = view.Agent, ServiceNumber(route.ServiceID("intake"))
+	go func() { _ = agent.opts.Link.Serve() }()
+	agent.onState(entry.self.Control, ctrl.State{Record: entry.self})
+	ready := func() bool {
+		for deadline := time.Now().Add(testPeriod); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			agent.tick()
+			if c := entry.Agents(route.ServiceID("intake")); len(c) == 1 && c[0].Ready {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(ready())
+	entry.mu.Lock()
+	entry.peers[agent.self.Packets].lastHeartbeat = time.Now().Add(-2 * lostTimeout)
+	entry.updateSilentPeers(time.Now())
+	entry.mu.Unlock()
+	is.True(ready())
+}
