deliv: a SYN with the key of a closed flow opens a new one

What callers would see: a client that uses a port again within the idle timeout gets a reset on its open flow when another entry takes its packets, or its flow reaches a draining server. Cause: a closed flow stays in the agent's table for its late packets. A SYN with its key counted as a retransmission: it went to the server without the checks for new flows, and the flow stayed closed, so that exhaustive lists of flows denied it. Evidence: TestFlowWithKeyOfClosedFlowIsOpen (no open flow, expected one) and TestDrainingServerGetsNoFlowWithKeyOfClosedFlow (the server got the SYN) failed before. Change: such a SYN is handled as that of a new flow. A late copy of the closed flow's own SYN went to the server before too; now it is recorded as opening until it times out or the server returns it. Result: go test ./internal/deliv passes.

--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -87,7 +87,7 @@
 // handleOpen sends the SYN of a flow to the server, passes it on to another agent or refuses the flow.
 func (a *Agent) handleOpen(header encap.Header, h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
-	if f := a.flows.Get(key, now); f != nil && f.serverRestarts == a.server.Restarts() {
+	if f := a.flows.Get(key, now); f != nil && f.phase != phaseClosed && f.serverRestarts == a.server.Restarts() {
 		a.sendToServer(b[encap.HeaderSize:]) // A retransmission of the SYN.
 		return
 	}
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -187,3 +187,46 @@
 	env.Equal(env.verdict(), seek.Held)
 	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
 }
+
+// closeFlow lets both ends of an open flow send their FIN.
+func (env *testEnv) closeFlow() {
+	env.Helper()
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 4, flow.Header{Ack: true, Fin: true})
+	env.Equal(env.read(env.server), []byte{4})
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50, Fin: true})
+	env.Equal(env.read(env.client), []byte{5})
+}
+
+// listed returns the keys that the agent would list as held.
+func (env *testEnv) listed() []flow.Key {
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	groups := env.agent.flowKeys(time.Now())
+	env.Equal(groups[2].verdict, seek.Held)
+	return groups[2].keys
+}
+
+// Guards against the reset of an open flow whose client uses the port of a closed one: the agent took it for the closed flow,
+// and lists denied it.
+func TestFlowWithKeyOfClosedFlowIsOpen(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.closeFlow()
+	env.openFlow()
+	env.receiveFromServer(6, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.agent.gauges().flows, 1)
+	env.Equal(env.listed(), []flow.Key{flow.NewKey(client, service)})
+}
+
+// Guards against a new flow that reaches a draining server since its client uses the port of a closed one.
+func TestDrainingServerGetsNoFlowWithKeyOfClosedFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.closeFlow()
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Draining, hb.Sequence = true, 8 })
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), nil)
+	env.Equal(env.readKind(env.fallback), encap.Open)
+}
