deliv: flow lists include flows that have just closed

What callers would see: a reset instead of the end of the last response, if both ends have sent a FIN, packets of the response are missing, and the client's packets move to another entry. Cause: an agent counts a flow as closed once it has seen both FINs. Its replies to queries say that the server holds the flow, which still retransmits and acknowledges, but its lists omit the flow, and an exhaustive list denies what it omits. Evidence: TestListIncludesFlowThatHasJustClosed failed before: the list was empty, the reply to a query 'held'. Found by review. Change: a closed flow is listed while packets of it come, and for 2 s after the last one. Lists grow by the flows that closed in that time; their size wasn't measured. Result: go test ./internal/deliv ./internal/flow ./internal/relay passes.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -27,6 +27,9 @@
 	minUnsavedFraction = 0.1
 	// saveTimeout bounds the final save at shutdown.
 	saveTimeout = 300 * time.Millisecond
+	// closedFlowTTL is how long after its last packet a closed flow is listed. Either end retransmits what is missing at least
+	// every 1.6 s.
+	closedFlowTTL = 2 * time.Second
 	// loadRetryInterval is the pause between attempts to load the list.
 	loadRetryInterval = 200 * time.Millisecond
 	// loadTimeout bounds the attempts to load and restore the list. Clients have given up their flows by then.
@@ -111,7 +114,7 @@
 			case f.phase == phaseProbing:
 				perhaps = append(perhaps, k)
 			case f.serverRestarts != a.server.Restarts():
-			case f.phase == phaseOpen:
+			case f.phase == phaseOpen, f.phase == phaseClosed && a.flows.UsedSince(k, now.Add(-closedFlowTTL)):
 				held = append(held, k)
 			case f.phase == phaseOpening:
 				opening = append(opening, k)
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -230,3 +230,18 @@
 	env.Equal(env.read(env.server), nil)
 	env.Equal(env.readKind(env.fallback), encap.Open)
 }
+
+// Guards against the reset of a client that still gets the end of the last response: queries found a flow on which both ends
+// had sent a FIN, but exhaustive lists denied it.
+func TestListIncludesFlowThatHasJustClosed(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.closeFlow()
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.listed(), []flow.Key{flow.NewKey(client, service)})
+	env.agent.mu.Lock()
+	env.agent.flows.ExtendIdleTime(-2 * closedFlowTTL)
+	env.agent.mu.Unlock()
+	env.Equal(len(env.listed()), 0)
+}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -52,6 +52,12 @@
 	return nil
 }
 
+// UsedSince reports whether a flow is in the table and was used after since.
+func (t *Table[V]) UsedSince(k Key, since time.Time) bool {
+	it := t.items[k]
+	return it != nil && it.lastUsed.After(since)
+}
+
 // Put sets the value of a flow and returns a pointer to it. A full table evicts an arbitrary flow first.
 func (t *Table[V]) Put(k Key, v V, now time.Time) *V {
 	if it := t.items[k]; it != nil {
