deliv: the saved list of flows isn't replaced before it is restored

What callers would see: after two planned restarts of an agent in a row, their open flows are unknown to it and are searched by probes. Cause: an agent that stopped before it had restored its predecessor's list, since the store failed or the server's first heartbeat had just come, saved the few flows that it had seen itself as its final list, and so replaced the whole one. Evidence: TestListIsNotReplacedBeforeItIsRestored failed before: the list in the store had one other flow. Found by review. Change: an agent's own lists are saved only once the earlier list has been restored, doesn't exist, or can't be restored in time. Result: go test -race ./internal/deliv passes.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -113,6 +113,8 @@
 	waitTimes *logs.Histogram
 	// tableCompleteAt is when the flow table begins to hold all flows of the server.
 	tableCompleteAt time.Time
+	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
+	mayReplaceList bool
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
 	lastRunAt time.Time
 	// pausedFor is the total time of the pauses.
@@ -136,7 +138,7 @@
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
-		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat,
+		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
 	if opts.FirstStart {
 		a.tableCompleteAt = now
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -194,14 +194,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	hb, known := a.server.LastHeartbeat()
-	if !known {
+	if !known || !a.mayReplaceList {
 		return nil, false
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
 	var listed []*flowState
 	unsaved := 0
 	a.flows.Each(func(k flow.Key, f *flowState) {
-		if f.phase != phaseOpen || f.serverRestarts != a.server.Restarts() || (!final && now.Sub(f.firstSeen) < minSaveAge) {
+		if !a.isOpen(f) || (!final && now.Sub(f.firstSeen) < minSaveAge) {
 			return
 		}
 		s.Keys = k.Append(s.Keys)
@@ -225,11 +225,22 @@
 	return b, true
 }
 
-// loadFlowList loads the list that the previous process at this address saved, and restores it.
+// isOpen reports whether a flow is open at the current start of the server.
+func (a *Agent) isOpen(f *flowState) bool {
+	return f.phase == phaseOpen && f.serverRestarts == a.server.Restarts()
+}
+
+// loadFlowList loads the list that the previous process at this address saved, and restores it. Unless ctx ends before, the
+// agent's own lists may replace it from then on.
 func (a *Agent) loadFlowList(ctx context.Context) {
 	if a.opts.FirstStart {
 		return
 	}
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.mayReplaceList = ctx.Err() == nil
+	}()
 	started := time.Now()
 	for ctx.Err() == nil && time.Since(started) < loadTimeout {
 		list, ok, err := a.opts.FlowListStore.Load(ctx)
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -1,6 +1,7 @@
 package deliv
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -245,3 +246,32 @@
 	env.agent.mu.Unlock()
 	env.Equal(len(env.listed()), 0)
 }
+
+// Guards against flows that no agent knows any more after two planned restarts in a row: an agent that stops before it has
+// restored its predecessor's list must not replace it by the few flows that it has seen itself.
+func TestListIsNotReplacedBeforeItIsRestored(t *testing.T) {
+	first := newTestEnv(t, true)
+	first.receiveHeartbeat(nil)
+	first.openFlow()
+	first.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	first.agent.SaveFlowList()
+
+	second := newTestEnv(t, false)
+	second.store.list = first.store.list
+	second.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	other := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	second.agent.mu.Lock()
+	second.agent.setPhase(second.agent.flows.Put(other, flowState{}, time.Now()), phaseOpen)
+	second.agent.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	second.NoErr(second.agent.maintainFlowList(ctx)) // It stops while the store or the first heartbeat is awaited.
+	second.agent.SaveFlowList()
+	second.Equal(second.store.list, first.store.list)
+
+	second.agent.loadFlowList(context.Background())
+	second.agent.SaveFlowList()
+	var saved savedFlowList
+	second.NoErr(cbor.Unmarshal(second.store.list, &saved))
+	second.Equal(len(encap.ParseKeys(saved.Keys)), 2)
+}
