deliv: the final list of flows includes those that are opening

What callers saw: after a planned restart of an agent, requests on open flows waited for a search that probes up to 35 servers. Cause: a flow counts as opening until the server sends more than its SYN+ACK. While its first request waits for a slot, or before the first request, the flow is open at the server, but the final list omitted it, and the agent's successor couldn't tell. Flow 100.66.0.169:1045 was placed at 10.1.0.15 at 13.706 s; the list saved at 14.007 s was restored at 14.761 s; at 14.867 s the agent replied 'perhaps', and was then found to hold the flow. That such a flow was opening at the stop isn't in the log, it is concluded: open ones are all saved. TestFinalListIncludesOpeningFlows failed before: no list was saved. Change: the final list names opening flows whose SYN the server accepted, apart from the open ones. They are restored as opening, so that entries probe this server first, as they would have before the restart. If the server has started again they are left out and not reset: they may be open at a server that got another copy of the SYN. Result: go test -race ./internal/deliv ./cmd passes.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -52,6 +52,9 @@
 	// Keys has the encoded keys of the flows, NextSeqs their serverNextSeq in the same order.
 	Keys     []byte   `cbor:"3,keyasint"`
 	NextSeqs []uint32 `cbor:"4,keyasint"`
+	// OpeningKeys has the encoded keys of the flows that the server has accepted and that may be open at it. Only the final
+	// list has them.
+	OpeningKeys []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // sendFlowList sends an entry the keys of all flows that the server holds or may hold, by verdict, in as many datagrams as
@@ -198,19 +201,7 @@
 		return nil, false
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
-	var listed []*flowState
-	unsaved := 0
-	a.flows.Each(func(k flow.Key, f *flowState) {
-		if !a.isOpen(f) || (!final && now.Sub(f.firstSeen) < minSaveAge) {
-			return
-		}
-		s.Keys = k.Append(s.Keys)
-		s.NextSeqs = append(s.NextSeqs, f.serverNextSeq)
-		listed = append(listed, f)
-		if !f.saved {
-			unsaved++
-		}
-	})
+	listed, unsaved := a.collectFlows(&s, final, now)
 	if unsaved == 0 || (!final && float64(unsaved) < minUnsavedFraction*float64(len(listed))) {
 		return nil, false
 	}
@@ -225,9 +216,24 @@
 	return b, true
 }
 
-// isOpen reports whether a flow is open at the current start of the server.
-func (a *Agent) isOpen(f *flowState) bool {
-	return f.phase == phaseOpen && f.serverRestarts == a.server.Restarts()
+// collectFlows adds the flows to a list. It returns the open ones, and the number of flows that aren't in the last list.
+func (a *Agent) collectFlows(s *savedFlowList, final bool, now time.Time) (listed []*flowState, unsaved int) {
+	a.flows.Each(func(k flow.Key, f *flowState) {
+		switch {
+		case f.serverRestarts != a.server.Restarts() || (!final && now.Sub(f.firstSeen) < minSaveAge):
+		case f.phase == phaseOpen:
+			s.Keys = k.Append(s.Keys)
+			s.NextSeqs = append(s.NextSeqs, f.serverNextSeq)
+			listed = append(listed, f)
+			if !f.saved {
+				unsaved++
+			}
+		case f.phase == phaseOpening && f.counted && final:
+			s.OpeningKeys = k.Append(s.OpeningKeys)
+			unsaved++
+		}
+	})
+	return listed, unsaved
 }
 
 // loadFlowList loads the list that the previous process at this address saved, and restores it. Unless ctx ends before, the
@@ -308,7 +314,9 @@
 		return true
 	}
 	a.restoreFlows(keys, s.NextSeqs, route.ServiceID(hb.Service), now)
-	a.opts.Log.Info("flows restored", zap.Int("flows", len(keys)), zap.String("id", hb.ID))
+	opening := encap.ParseKeys(s.OpeningKeys)
+	a.restoreOpeningFlows(opening, route.ServiceID(hb.Service), now)
+	a.opts.Log.Info("flows restored", zap.Int("flows", len(keys)), zap.Int("opening", len(opening)), zap.String("id", hb.ID))
 	return true
 }
 
@@ -327,3 +335,13 @@
 		}
 	}
 }
+
+// restoreOpeningFlows adds flows of a saved list to the table as opening ones, unless packets of them have been seen since.
+func (a *Agent) restoreOpeningFlows(keys []flow.Key, service uint64, now time.Time) {
+	for _, k := range keys {
+		if a.flows.Peek(k) == nil && a.denied.Peek(k) == nil {
+			f := a.flows.Put(k, flowState{phase: phaseOpening, serverRestarts: a.server.Restarts(), service: service, firstSeen: now}, now)
+			a.countOpenFlow(f)
+		}
+	}
+}
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -275,3 +275,30 @@
 	second.NoErr(cbor.Unmarshal(second.store.list, &saved))
 	second.Equal(len(encap.ParseKeys(saved.Keys)), 2)
 }
+
+// Guards against flows that a restarted agent doesn't know although its predecessor stopped as planned: a flow counts as
+// opening until the server responds to its first request, which may be queued for long.
+func TestFinalListIncludesOpeningFlows(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.agent.SaveFlowList()
+	env.True(env.store.list != nil)
+
+	successor := newTestEnv(t, false)
+	successor.store.list = env.store.list
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	successor.agent.loadFlowList(context.Background())
+	successor.Equal(successor.verdict(), seek.Opening)
+	successor.Equal(successor.agent.gauges().flows, 1)
+	successor.store.list = nil
+	successor.agent.SaveFlowList() // It may stop again before the flow is used.
+	successor.True(successor.store.list != nil)
+
+	restarted := newTestEnv(t, false)
+	restarted.store.list = env.store.list
+	restarted.receiveHeartbeat(func(hb *server.Heartbeat) { hb.StartedAt = startedAt.Add(time.Second) })
+	restarted.agent.loadFlowList(context.Background())
+	restarted.Equal(restarted.agent.gauges().flows, 0)
+	restarted.Equal(restarted.read(restarted.client), nil) // The flow may be open at another server.
+}
