relay: a resumed search asks again agents that couldn't tell

What callers saw: requests on an open flow waited up to five seconds for a search, though the flow's agent had restored its list. Cause: an agent that has just restarted replies 'perhaps'. The search kept that reply, and asked only agents that hadn't replied. No server is probed while one of these is missing, as during rolls, so the packets were dropped until a new search began. TestResumedSearchQueriesAgentThatCouldNotTell failed before: the agent got no query. Change: when a packet resumes a search, agents that replied 'perhaps' or 'opening' get a query for this flow. Their reply counts until another one comes, so that the search doesn't wait for them again.

--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -19,7 +19,6 @@
 			list = new(flowList)
 			r.lists[agent] = list
 		}
-		header := encap.Header{Kind: encap.Query, Entry: r.opts.Self}
 		switch {
 		case now.Sub(list.requestedAt) >= minListInterval:
 			r.listRequests++
@@ -29,10 +28,16 @@
 		case !list.requestedAt.Before(s.startedAt) && now.Sub(list.requestedAt) < listReplyTimeout:
 			continue // The pending list was requested after the flow's packet arrived, so its reply covers this flow.
 		}
-		var buf [encap.HeaderSize + flow.KeySize]byte
-		if _, err := r.opts.EncapConn.WriteToUDPAddrPort(header.AppendWithKey(buf[:0], key), agent); err != nil {
-			r.counters.Add("send_failed", 1)
-		}
+		r.query(key, agent)
+	}
+}
+
+// query queries an agent for a single flow.
+func (r *Relay) query(key flow.Key, agent netip.AddrPort) {
+	header := encap.Header{Kind: encap.Query, Entry: r.opts.Self}
+	var buf [encap.HeaderSize + flow.KeySize]byte
+	if _, err := r.opts.EncapConn.WriteToUDPAddrPort(header.AppendWithKey(buf[:0], key), agent); err != nil {
+		r.counters.Add("send_failed", 1)
 	}
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -499,3 +499,20 @@
 	tr.Equal(len(entries), 1)
 	tr.Equal(entries[0].ContextMap()["answers"], ptest.Addr(tr.agentA).String()+",denied,list;"+ptest.Addr(tr.agentB).String()+",unanswered,silent")
 }
+
+// Guards against a search that doesn't find the holder while another agent's reply is missing: an agent that couldn't tell may
+// have restored its list of flows since.
+func TestResumedSearchQueriesAgentThatCouldNotTell(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.ListReply, Verdict: seek.Held, Version: 5}) // Not exhaustive.
+	tr.relay.mu.Lock()
+	tr.True(!tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+	tr.relay.pauseSearch(tr.relay.searches[key], time.Now()) // B hasn't replied.
+	tr.relay.mu.Unlock()
+	tr.sendFromClient(2, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Query)
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+}
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -138,6 +138,18 @@
 	return agents
 }
 
+// Unsure returns the agents that couldn't tell whether their server holds the flow. They may have learned it since their
+// reply, which counts until another one comes.
+func (s *Search) Unsure() []netip.AddrPort {
+	var agents []netip.AddrPort
+	for i := range s.candidates {
+		if v := s.candidates[i].verdict; v == Perhaps || v == Opening {
+			agents = append(agents, s.candidates[i].agent)
+		}
+	}
+	return agents
+}
+
 // Awaits reports whether an agent is a candidate without a verdict.
 func (s *Search) Awaits(agent netip.AddrPort) bool {
 	for i := range s.candidates {
