--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -27,6 +27,9 @@
 	minUnsavedFraction = 0.1
 	// saveTimeout bounds the final save at shutdown.
 	saveTimeout = 300 * time.Millisecond
+	// closedFlowTTL is how long after its last packet a closed flow is listed. Either end retransmits what is missing at least
+	// every 1.6 s.
+	closedFlowTTL = 2 * time.Second
 	// loadRetryInterval is the pause between attempts to load the list.
 	loadRetryInterval = 200 * time.Millisecond
 	// loadTimeout bounds the attempts to load and restore the list. Clients have given up their flows by then.
@@ -49,6 +52,9 @@
 	// Keys has the encoded keys of the flows, NextSeqs their serverNextSeq in the same order.
 	Keys     []byte   `cbor:"3,keyasint"`
 	NextSeqs []uint32 `cbor:"4,keyasint"`
+	// OpeningKeys has the encoded keys of the flows that the server has accepted and that may be open at it. Only the final
+	// list has them.
+	OpeningKeys []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // sendFlowList sends an entry the keys of all flows that the server holds or may hold, by verdict, in as many datagrams as
@@ -111,7 +117,7 @@
 			case f.phase == phaseProbing:
 				perhaps = append(perhaps, k)
 			case f.serverRestarts != a.server.Restarts():
-			case f.phase == phaseOpen:
+			case f.phase == phaseOpen, f.phase == phaseClosed && a.flows.UsedSince(k, now.Add(-closedFlowTTL)):
 				held = append(held, k)
 			case f.phase == phaseOpening:
 				opening = append(opening, k)
@@ -191,23 +197,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	hb, known := a.server.LastHeartbeat()
-	if !known {
+	if !known || !a.mayReplaceList {
 		return nil, false
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
-	var listed []*flowState
-	unsaved := 0
-	a.flows.Each(func(k flow.Key, f *flowState) {
-		if f.phase != phaseOpen || f.serverRestarts != a.server.Restarts() || (!final && now.Sub(f.firstSeen) < minSaveAge) {
-			return
-		}
-		s.Keys = k.Append(s.Keys)
-		s.NextSeqs = append(s.NextSeqs, f.serverNextSeq)
-		listed = append(listed, f)
-		if !f.saved {
-			unsaved++
-		}
-	})
+	listed, unsaved := a.collectFlows(&s, final, now)
 	if unsaved == 0 || (!final && float64(unsaved) < minUnsavedFraction*float64(len(listed))) {
 		return nil, false
 	}
@@ -222,11 +216,37 @@
 	return b, true
 }
 
-// loadFlowList loads the list that the previous process at this address saved, and restores it.
+// collectFlows adds the flows to a list. It returns the open ones, and the number of flows that aren't in the last list.
+func (a *Agent) collectFlows(s *savedFlowList, final bool, now time.Time) (listed []*flowState, unsaved int) {
+	a.flows.Each(func(k flow.Key, f *flowState) {
+		switch {
+		case f.serverRestarts != a.server.Restarts() || (!final && now.Sub(f.firstSeen) < minSaveAge):
+		case f.phase == phaseOpen:
+			s.Keys = k.Append(s.Keys)
+			s.NextSeqs = append(s.NextSeqs, f.serverNextSeq)
+			listed = append(listed, f)
+			if !f.saved {
+				unsaved++
+			}
+		case f.phase == phaseOpening && f.counted && final:
+			s.OpeningKeys = k.Append(s.OpeningKeys)
+			unsaved++
+		}
+	})
+	return listed, unsaved
+}
+
+// loadFlowList loads the list that the previous process at this address saved, and restores it. Unless ctx ends before, the
+// agent's own lists may replace it from then on.
 func (a *Agent) loadFlowList(ctx context.Context) {
 	if a.opts.FirstStart {
 		return
 	}
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.mayReplaceList = ctx.Err() == nil
+	}()
 	started := time.Now()
 	for ctx.Err() == nil && time.Since(started) < loadTimeout {
 		list, ok, err := a.opts.FlowListStore.Load(ctx)
@@ -294,7 +314,9 @@
 		return true
 	}
 	a.restoreFlows(keys, s.NextSeqs, route.ServiceID(hb.Service), now)
-	a.opts.Log.Info("flows restored", zap.Int("flows", len(keys)), zap.String("id", hb.ID))
+	opening := encap.ParseKeys(s.OpeningKeys)
+	a.restoreOpeningFlows(opening, route.ServiceID(hb.Service), now)
+	a.opts.Log.Info("flows restored", zap.Int("flows", len(keys)), zap.Int("opening", len(opening)), zap.String("id", hb.ID))
 	return true
 }
 
@@ -313,3 +335,13 @@
 		}
 	}
 }
+
+// restoreOpeningFlows adds flows of a saved list to the table as opening ones, unless packets of them have been seen since.
+func (a *Agent) restoreOpeningFlows(keys []flow.Key, service uint64, now time.Time) {
+	for _, k := range keys {
+		if a.flows.Peek(k) == nil && a.denied.Peek(k) == nil {
+			f := a.flows.Put(k, flowState{phase: phaseOpening, serverRestarts: a.server.Restarts(), service: service, firstSeen: now}, now)
+			a.countOpenFlow(f)
+		}
+	}
+}
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -11,6 +11,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/alive"
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -211,3 +212,49 @@
 	_, err = ctrl.Encode(codec, ctrl.KindSilenceQuery, ctrl.SilenceQuery{Round: reply.Round, Suspects: reply.Suspects})
 	is.NoErr(err)
 }
+
+// Guards against resets of the flows of an agent that is silent at one entry for longer than lostTimeout, while other entries
+// receive its heartbeats.
+func TestAgentHeardByOthersIsNotLost(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 4)
+	silence(g.entries[0])
+	is.True(!g.deadAtFirst(testPeriod/3, g.entries[1:]...))
+	n := g.entries[0]
+	n.mu.Lock()
+	n.peers[otherAddr].lastHeartbeat = time.Now().Add(-2 * lostTimeout)
+	n.mu.Unlock()
+	is.True(!g.deadAtFirst(testPeriod/3, g.entries[1:]...))
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("desk")})), 1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.updateSilentPeers(time.Now().Add(2 * lostTimeout)) // Nobody has contradicted since.
+	is.True(n.peers[otherAddr] == nil)
+}
+
+// Guards against an agent that gets no new flows and whose compact heartbeats are ignored, so that it is silent at times, for
+// as long as it runs after it was lost once, as after a long pause.
+func TestLostAgentIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	entry := newGroup(t, 1).entries[0]
+	agent := newEntry(t, netip.MustParseAddrPort("127.0.0.3:1"), new(memoryDirectory))
+	agent.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+	agent.self.Role, agent.self.Service = view.Agent, ServiceNumber(route.ServiceID("intake"))
+	go func() { _ = agent.opts.Link.Serve() }()
+	agent.onState(entry.self.Control, ctrl.State{Record: entry.self})
+	ready := func() bool {
+		for deadline := time.Now().Add(testPeriod); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			agent.tick()
+			if c := entry.Agents(route.ServiceID("intake")); len(c) == 1 && c[0].Ready {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(ready())
+	entry.mu.Lock()
+	entry.peers[agent.self.Packets].lastHeartbeat = time.Now().Add(-2 * lostTimeout)
+	entry.updateSilentPeers(time.Now())
+	entry.mu.Unlock()
+	is.True(ready())
+}
