A resumed search awaits agents that couldn't tell

Cause: a search that was resumed by the client's next packet kept the verdicts of agents that hadn't known whether their server holds the flow. The holder's agent had replied so and was in a planned stop when the next probes were sent: the others got theirs. Evidence: three probes in the log of the flow, of 12, 5 and 3 servers, each with the holder's agent among them by its old reply. A complete list doesn't count as a pending one, so that the query goes out at once.

--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -25,7 +25,7 @@
 			*list = flowList{requestedAt: now, requestID: r.listRequests, keys: make(map[flow.Key]struct{})}
 			r.requestList(agent, list)
 			continue
-		case !list.requestedAt.Before(s.startedAt) && now.Sub(list.requestedAt) < listReplyTimeout:
+		case !list.complete && !list.requestedAt.Before(s.startedAt) && now.Sub(list.requestedAt) < listReplyTimeout:
 			continue // The pending list was requested after the flow's packet arrived, so its reply covers this flow.
 		}
 		r.query(key, agent)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -68,9 +68,6 @@
 		s.paused = false
 		s.Update(r.possibleHolders(rt, s.allServices), now)
 		r.queryUnanswered(key, s, now)
-		for _, agent := range s.Unsure() {
-			r.query(key, agent)
-		}
 		r.step(key, s, now)
 	}
 }
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -109,11 +109,16 @@
 }
 
 // Update adds the candidates that are not part of the search yet, records which of them are dead now, and restarts the reply
-// timeout. Verdicts are kept.
+// timeout. Only the verdicts Denied and Held are kept: an agent with another one may have learned more since, or may have
+// stopped, so that a packet sent to it would be lost.
 func (s *Search) Update(current []Candidate, now time.Time) {
 	known := make(map[netip.AddrPort]*candidate, len(s.candidates))
 	for i := range s.candidates {
-		known[s.candidates[i].agent] = &s.candidates[i]
+		c := &s.candidates[i]
+		known[c.agent] = c
+		if c.verdict == Perhaps || c.verdict == Opening {
+			c.verdict, c.source = 0, 0
+		}
 	}
 	var added []candidate
 	for _, c := range current {
@@ -138,18 +143,6 @@
 	return agents
 }
 
-// Unsure returns the agents that couldn't tell whether their server holds the flow. They may have learned it since their
-// reply, which counts until another one comes.
-func (s *Search) Unsure() []netip.AddrPort {
-	var agents []netip.AddrPort
-	for i := range s.candidates {
-		if v := s.candidates[i].verdict; v == Perhaps || v == Opening {
-			agents = append(agents, s.candidates[i].agent)
-		}
-	}
-	return agents
-}
-
 // Awaits reports whether an agent is a candidate without a verdict.
 func (s *Search) Awaits(agent netip.AddrPort) bool {
 	for i := range s.candidates {
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -112,6 +112,19 @@
 	is.Equal(s.Next(at(2*time.Second)).Action, Lost)
 }
 
+// Guards against packets of an open flow that reach only other servers: an agent that couldn't tell whether its server holds
+// the flow may be in a planned stop when the search is resumed, so that a probe would not reach the holder.
+func TestResumedSearchAwaitsAgentThatCouldNotTell(t *testing.T) {
+	is := is.New(t)
+	s := newSearch(agentA, agentB, agentC)
+	s.RecordVerdict(agentA, Perhaps, Reply)
+	s.RecordVerdict(agentB, Opening, Reply)
+	s.RecordVerdict(agentC, Denied, Reply)
+	s.Update([]Candidate{{Agent: agentA}, {Agent: agentB}, {Agent: agentC}}, at(time.Second))
+	is.Equal(s.Unanswered(), []netip.AddrPort{agentA, agentB})
+	is.Equal(s.Next(at(2*time.Second)).Action, Drop)
+}
+
 func TestOpeningFlowIsProbedFirst(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA, agentB)
