--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -1,6 +1,7 @@
 package deliv
 
 import (
+	"context"
 	"net/netip"
 	"testing"
 	"time"
@@ -187,3 +188,117 @@
 	env.Equal(env.verdict(), seek.Held)
 	env.Equal(env.unknownFlowVerdict(), seek.Perhaps)
 }
+
+// closeFlow lets both ends of an open flow send their FIN.
+func (env *testEnv) closeFlow() {
+	env.Helper()
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 4, flow.Header{Ack: true, Fin: true})
+	env.Equal(env.read(env.server), []byte{4})
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50, Fin: true})
+	env.Equal(env.read(env.client), []byte{5})
+}
+
+// listed returns the keys that the agent would list as held.
+func (env *testEnv) listed() []flow.Key {
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	groups := env.agent.flowKeys(time.Now())
+	env.Equal(groups[2].verdict, seek.Held)
+	return groups[2].keys
+}
+
+// Guards against the reset of an open flow whose client uses the port of a closed one: the agent took it for the closed flow,
+// and lists denied it.
+func TestFlowWithKeyOfClosedFlowIsOpen(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.closeFlow()
+	env.openFlow()
+	env.receiveFromServer(6, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.agent.gauges().flows, 1)
+	env.Equal(env.listed(), []flow.Key{flow.NewKey(client, service)})
+}
+
+// Guards against a new flow that reaches a draining server since its client uses the port of a closed one.
+func TestDrainingServerGetsNoFlowWithKeyOfClosedFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.closeFlow()
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Draining, hb.Sequence = true, 8 })
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), nil)
+	env.Equal(env.readKind(env.fallback), encap.Open)
+}
+
+// Guards against the reset of a client that still gets the end of the last response: queries found a flow on which both ends
+// had sent a FIN, but exhaustive lists denied it.
+func TestListIncludesFlowThatHasJustClosed(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.closeFlow()
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.listed(), []flow.Key{flow.NewKey(client, service)})
+	env.agent.mu.Lock()
+	env.agent.flows.ExtendIdleTime(-2 * closedFlowTTL)
+	env.agent.mu.Unlock()
+	env.Equal(len(env.listed()), 0)
+}
+
+// Guards against flows that no agent knows any more after two planned restarts in a row: an agent that stops before it has
+// restored its predecessor's list must not replace it by the few flows that it has seen itself.
+func TestListIsNotReplacedBeforeItIsRestored(t *testing.T) {
+	first := newTestEnv(t, true)
+	first.receiveHeartbeat(nil)
+	first.openFlow()
+	first.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	first.agent.SaveFlowList()
+
+	second := newTestEnv(t, false)
+	second.store.list = first.store.list
+	second.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	other := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	second.agent.mu.Lock()
+	second.agent.setPhase(second.agent.flows.Put(other, flowState{}, time.Now()), phaseOpen)
+	second.agent.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	second.NoErr(second.agent.maintainFlowList(ctx)) // It stops while the store or the first heartbeat is awaited.
+	second.agent.SaveFlowList()
+	second.Equal(second.store.list, first.store.list)
+
+	second.agent.loadFlowList(context.Background())
+	second.agent.SaveFlowList()
+	var saved savedFlowList
+	second.NoErr(cbor.Unmarshal(second.store.list, &saved))
+	second.Equal(len(encap.ParseKeys(saved.Keys)), 2)
+}
+
+// Guards against flows that a restarted agent doesn't know although its predecessor stopped as planned: a flow counts as
+// opening until the server responds to its first request, which may be queued for long.
+func TestFinalListIncludesOpeningFlows(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.agent.SaveFlowList()
+	env.True(env.store.list != nil)
+
+	successor := newTestEnv(t, false)
+	successor.store.list = env.store.list
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	successor.agent.loadFlowList(context.Background())
+	successor.Equal(successor.verdict(), seek.Opening)
+	successor.Equal(successor.agent.gauges().flows, 1)
+	successor.store.list = nil
+	successor.agent.SaveFlowList() // It may stop again before the flow is used.
+	successor.True(successor.store.list != nil)
+
+	restarted := newTestEnv(t, false)
+	restarted.store.list = env.store.list
+	restarted.receiveHeartbeat(func(hb *server.Heartbeat) { hb.StartedAt = startedAt.Add(time.Second) })
+	restarted.agent.loadFlowList(context.Background())
+	restarted.Equal(restarted.agent.gauges().flows, 0)
+	restarted.Equal(restarted.read(restarted.client), nil) // The flow may be open at another server.
+}
