fakes: wait for a port that a child process still holds

No program is changed.

Cause: closing a socket doesn't free its port while a child process that this process has forked hasn't loaded its program; until the program is loaded the child holds copies of all sockets. The soak's cases run in one test process, and the others start programs at the same time. Both servers failed in the same moment since one child held copies of both sockets.

Ruled out: another run at these addresses (each case has its own slot), and the listener that is closed before it is served: the failed call binds the UDP socket.

Change: Listen repeats a bind while the port is in use, for up to 3 s; a port that stays in use is reported as before. Used by the fake server, the fake client, the store's listener and the proxies. A process of the soak that ends by itself is still found: only the fakes' own sockets wait.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -156,7 +156,7 @@
 		placements: make(map[*Process]placement), probeFailures: make(map[*Process]int), servers: make(map[*Process]*fakes.Server),
 	}
 	storeAddr := netip.AddrPortFrom(opts.ip(groupStore, 0), portStore)
-	ln, err := net.Listen("tcp4", storeAddr.String())
+	ln, err := fakes.Listen(func() (net.Listener, error) { return net.Listen("tcp4", storeAddr.String()) })
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
 	}
--- a/internal/local/proxy.go
+++ b/internal/local/proxy.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bergamotrun/bergamotrun/platform/fakes"
 )
 
 // Link holds the faults that a proxy injects into its connections.
@@ -30,7 +32,7 @@
 }
 
 func newProxy(listen, target netip.AddrPort) (*Proxy, error) {
-	ln, err := net.Listen("tcp4", listen.String())
+	ln, err := fakes.Listen(func() (net.Listener, error) { return net.Listen("tcp4", listen.String()) })
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -192,7 +192,7 @@
 	is := is.New(t)
 	p := d.Agents[0]
 	if agent != nil {
-		ln, err := net.Listen("tcp4", netip.AddrPortFrom(p.IP, 7006).String())
+		ln, err := fakes.Listen(func() (net.Listener, error) { return net.Listen("tcp4", netip.AddrPortFrom(p.IP, 7006).String()) })
 		is.NoErr(err)
 		server := &httptest.Server{Listener: ln, Config: &http.Server{Handler: agent, ReadHeaderTimeout: time.Second}}
 		server.Start()
@@ -206,7 +206,7 @@
 func forwardToClient(t *testing.T, at netip.AddrPort) {
 	t.Helper()
 	is := is.New(t)
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	conn, err := fakes.Listen(func() (*net.UDPConn, error) { return net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)) })
 	is.NoErr(err)
 	t.Cleanup(func() { _ = conn.Close() })
 	go func() {
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -29,7 +29,8 @@
 	{"mixed", 1, "", 12 * time.Second, "a mix of all faults"},
 	{"kill-all", 2, "kill all", 5 * time.Second, "open flows are found again after a kill of all processes"},
 	{"servers", 789, "server replaced,server crashes", 8 * time.Second,
-		"two faults in quick succession at one server: the port of the fake server was still in use (no fault of the system)"},
+		"the port of a fake server was still in use: its listener was open, and a child process held a copy of its socket (no fault " +
+			"of the system)"},
 	{"store", 3, "store silent,store forgets,store revokes,configurations", 8 * time.Second, "configuration changes while the store fails"},
 	{"planned", 4, "roll entries,roll agents,server replaced", 8 * time.Second, "planned operations alone break no flow"},
 	{"agents", 4, "roll agents", 8 * time.Second,
