relay, deliver: SIGHUP during the start doesn't end the process

What callers would see: an agent or entry that receives SIGHUP ("the settings file has changed") within the first moments of its start ends, and is away until it is started again.

Cause: SIGHUP was received only once sockets, control listener and membership were set up; until then its default action ends the process. Change: it is received before the settings are read. A signal before main still ends the process.

--- a/cmd/deliver.go
+++ b/cmd/deliver.go
@@ -34,6 +34,7 @@
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
+	hangup := notifyHangup()
 	text, err := os.ReadFile(*file)
 	if err != nil {
 		return errors.Wrap(err, "read settings")
@@ -65,7 +66,7 @@
 		Log:           p.log, FlowLog: p.flowLog, Vars: p.vars,
 	})
 	return p.close(p.serve(ctx, a, serveOptions{
-		file: *file, text: text, shutdownDelay: deliverShutdownDelay, onStop: a.SaveFlowList,
+		file: *file, text: text, hangup: hangup, shutdownDelay: deliverShutdownDelay, onStop: a.SaveFlowList,
 		heartbeatHandler: platform.HeartbeatHandler(a, p.log), heartbeatAddr: s.Announce,
 		parseSettings: func(f string, t []byte) (sett.OpaqueCommon, error) {
 			s, err := sett.ParseDeliver(f, t)
--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -187,11 +187,18 @@
 	})
 }
 
-// watchSettings checks the settings file at each SIGHUP and every settingsPollInterval. It applies a change of the seeds
-// and logs whether other changes need a restart.
-func (p *process) watchSettings(ctx context.Context, file string, text []byte, parse func(string, []byte) (sett.OpaqueCommon, error)) error {
+// notifyHangup returns a channel that receives SIGHUP. A command calls it before it reads its settings, since a SIGHUP that isn't
+// received ends the process.
+func notifyHangup() chan os.Signal {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
+// watchSettings checks the settings file at each SIGHUP received from signals and every settingsPollInterval. It applies a change of
+// the seeds and logs whether other changes need a restart.
+func (p *process) watchSettings(ctx context.Context, opts serveOptions) error {
+	file, text, signals := opts.file, opts.text, opts.hangup
 	defer signal.Stop(signals)
 	reload := func(why string) {
 		newText, err := os.ReadFile(file)
@@ -206,7 +213,7 @@
 			return
 		}
 		text = newText
-		s, err := parse(file, newText)
+		s, err := opts.parseSettings(file, newText)
 		if err != nil {
 			p.log.Error("settings are bad; the old ones stay in force", zap.String("why", why), zap.Error(err))
 			return
@@ -258,6 +265,8 @@
 type serveOptions struct {
 	file string
 	text []byte
+	// hangup is the channel that notifyHangup returned.
+	hangup chan os.Signal
 	// shutdownDelay is how long the process keeps serving after a stop was requested. While inRotation, if set, returns
 	// true, it keeps serving until maxShutdownDelay.
 	shutdownDelay, maxShutdownDelay time.Duration
@@ -279,7 +288,7 @@
 	g.Add(func() error { return p.awaitShutdown(ctx, serveCtx, opts) }, func(error) { cancel() })
 	g.Add(func() error { return p.node.Run(serveCtx) }, func(error) { cancel() })
 	g.Add(func() error { return f.Run(serveCtx) }, func(error) { cancel() })
-	g.Add(func() error { return p.watchSettings(serveCtx, opts.file, opts.text, opts.parseSettings) }, func(error) { cancel() })
+	g.Add(func() error { return p.watchSettings(serveCtx, opts) }, func(error) { cancel() })
 	ready := func() bool { return ctx.Err() == nil && f.Ready() }
 	if err := serveHTTP(ctx, &g, p.settings.Ready, platform.ReadyHandler(ready)); err != nil {
 		return err
--- a/cmd/relay.go
+++ b/cmd/relay.go
@@ -38,6 +38,7 @@
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
+	hangup := notifyHangup()
 	text, err := os.ReadFile(*file)
 	if err != nil {
 		return errors.Wrap(err, "read settings")
@@ -59,7 +60,7 @@
 		Log: p.log, FlowLog: p.flowLog, Vars: p.vars,
 	})
 	return p.close(p.serve(ctx, r, serveOptions{
-		file: *file, text: text, shutdownDelay: min(relayShutdownDelay, s.Stop.Std()-exitReserve),
+		file: *file, text: text, hangup: hangup, shutdownDelay: min(relayShutdownDelay, s.Stop.Std()-exitReserve),
 		maxShutdownDelay: s.Stop.Std() - exitReserve, inRotation: r.InRotation,
 		heartbeatHandler: http.NotFoundHandler(), heartbeatAddr: s.Announce,
 		parseSettings: func(f string, t []byte) (sett.OpaqueCommon, error) {
