local: settings files are replaced, not rewritten in place

The soak's fault "settings" truncated a settings file and wrote it anew. A process that another fault started in between could read an empty file and end by itself; two rewrites at once could leave it empty. Found by reading, seen in no run of the soak; no program is changed. Change: the text is written beside the file and renamed, one rewrite at a time.

--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -161,14 +161,21 @@
 	return !p.paused && now.Sub(p.lastDisturbed) > window
 }
 
-// RewriteSettings rewrites the settings file with an empty comment at its end, which changes no setting.
+// RewriteSettings replaces the settings file by one with an empty comment at its end, which changes no setting. A process that
+// reads the file meanwhile gets the whole of either.
 func (p *Process) RewriteSettings() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	text, err := os.ReadFile(p.settingsFile)
 	if err != nil {
 		return errors.Wrap(err, "edit settings")
 	}
 	text = append(bytes.TrimRight(text, "#\n"), []byte("\n#\n")...)
-	return errors.Wrap(os.WriteFile(p.settingsFile, text, 0o600), "edit settings")
+	replacement := p.settingsFile + ".new"
+	if err := os.WriteFile(replacement, text, 0o600); err != nil {
+		return errors.Wrap(err, "edit settings")
+	}
+	return errors.Wrap(os.Rename(replacement, p.settingsFile), "edit settings")
 }
 
 // Ready reports whether the readiness check of the process succeeds.
