local: configurations of overlapping faults keep their order

Two faults of the soak that change the configuration at once could write the newer version to the store first, or report the two to the checker in another order than the store had them. The checker would then take a process for one that uses an old configuration. Change: one configuration at a time is made, written and reported.

--- a/internal/local/config.go
+++ b/internal/local/config.go
@@ -40,6 +40,8 @@
 // configure writes the routes of all services and the extra routes to the store as the next configuration. Its version
 // is 1 to 3 higher than the previous one, so that some versions are skipped.
 func (d *Deployment) configure() error {
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
 	d.mu.Lock()
 	d.configVersion += 1 + uint64(rand.IntN(3))
 	routes := append([]fakes.Route(nil), d.extraRoutes...)
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -101,6 +101,9 @@
 	storeListener net.Listener
 	storeServer   *http.Server
 
+	// configMu orders configurations: the store and the watcher get each one before the next is made.
+	configMu sync.Mutex
+
 	mu sync.Mutex
 	// rotation holds the entries that the fabric sends packets to, probeFailures the consecutive failed readiness checks.
 	rotation      []*Process
