soak: a process's paused time isn't part of its grace period

The soak allowed 7 s by the clock for a planned stop. When another fault paused the process meanwhile, up to 4 s of that were time in which it could not run, so that a stopping entry that was still in rotation could be reported falsely. Change: the same 7 s of the time in which the process runs. It also checks that a process that doesn't stop is still reported.

--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -30,6 +30,9 @@
 	portStore    = 7009
 )
 
+// exitCheckInterval is the time between two checks of a process's running time while its exit is awaited.
+const exitCheckInterval = 20 * time.Millisecond
+
 // Process runs a subcommand of the executable as a child process, which can be restarted. It is safe for concurrent use.
 type Process struct {
 	// Name and IP are unique within a deployment.
@@ -54,6 +57,10 @@
 	stopPlanned   bool
 	lastDisturbed time.Time
 	startedAt     time.Time
+	// runningTime is how long the process was running until it was last paused or resumed, resumedAt when it was resumed; zero while
+	// it is paused.
+	runningTime time.Duration
+	resumedAt   time.Time
 	// unexpectedExits counts exits without a preceding SIGKILL or SIGTERM.
 	unexpectedExits int
 }
@@ -87,6 +94,7 @@
 	}
 	p.done = make(chan struct{})
 	p.cmd, p.exitExpected, p.paused, p.stopPlanned, p.startedAt = cmd, false, false, false, time.Now()
+	p.runningTime, p.resumedAt = 0, p.startedAt
 	go p.wait(cmd, p.done)
 	return nil
 }
@@ -122,9 +130,9 @@
 	case syscall.SIGTERM:
 		p.exitExpected, p.stopPlanned = true, true
 	case syscall.SIGSTOP:
-		p.paused = true
+		p.runningTime, p.resumedAt, p.paused = p.runningTimeLocked(), time.Time{}, true
 	case syscall.SIGCONT:
-		p.paused = false
+		p.runningTime, p.resumedAt, p.paused = p.runningTimeLocked(), time.Now(), false
 	}
 	if sig != syscall.SIGHUP && sig != syscall.SIGTERM {
 		p.lastDisturbed = time.Now()
@@ -133,6 +141,35 @@
 	return p.done
 }
 
+// AwaitExit waits until exited, a channel that Signal returned, is closed, for at most limit of the process's running time: time in
+// which the process is paused doesn't count. It reports whether the process exited.
+func (p *Process) AwaitExit(exited <-chan struct{}, limit time.Duration) bool {
+	p.mu.Lock()
+	start := p.runningTimeLocked()
+	p.mu.Unlock()
+	for {
+		select {
+		case <-exited:
+			return true
+		case <-time.After(exitCheckInterval):
+		}
+		p.mu.Lock()
+		running := p.runningTimeLocked() - start
+		p.mu.Unlock()
+		if running > limit {
+			return false
+		}
+	}
+}
+
+// runningTimeLocked returns how long the process has been running since its start without being paused. The caller holds mu.
+func (p *Process) runningTimeLocked() time.Duration {
+	if p.resumedAt.IsZero() {
+		return p.runningTime
+	}
+	return p.runningTime + time.Since(p.resumedAt)
+}
+
 // Kill kills the process, also when it is paused, and waits until it has exited.
 func (p *Process) Kill() {
 	p.Signal(syscall.SIGCONT)
--- a/internal/local/process_test.go
+++ b/internal/local/process_test.go
@@ -3,9 +3,12 @@
 import (
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -41,3 +44,24 @@
 		}
 	}
 }
+
+// A process that another fault pauses while it stops has its whole grace period, but no more. Guards against false reports of
+// processes that don't stop within it.
+func TestPausedTimeIsNotPartOfGracePeriod(t *testing.T) {
+	is := is.New(t)
+	const limit = 300 * time.Millisecond
+	dir := t.TempDir()
+	script := filepath.Join(dir, "script")
+	is.NoErr(os.WriteFile(script, []byte("#!/bin/sh\ntrap 'test -e \"$0.stop\" && exit 0' TERM\nwhile :; do sleep 0.02; done\n"), 0o700))
+	p, err := newProcess(dir, script, "relay-0", "relay", netip.MustParseAddr("127.0.0.1"), "")
+	is.NoErr(err)
+	is.NoErr(p.Start())
+	defer p.Kill()
+	time.Sleep(200 * time.Millisecond) // Until the script handles SIGTERM.
+	is.True(!p.AwaitExit(p.Signal(syscall.SIGTERM), limit))
+	is.NoErr(os.WriteFile(script+".stop", nil, 0o600))
+	p.Signal(syscall.SIGSTOP)
+	exited := p.Signal(syscall.SIGTERM)
+	time.AfterFunc(3*limit, func() { p.Signal(syscall.SIGCONT) })
+	is.True(p.AwaitExit(exited, limit))
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -100,9 +100,7 @@
 // so that only the stopped process counts as disturbed.
 func (d *deployment) rollProcesses(ctx context.Context, r *rand.Rand, processes []*local.Process) {
 	for _, p := range processes {
-		select {
-		case <-p.Signal(syscall.SIGTERM):
-		case <-time.After(local.GracePeriod + time.Second):
+		if !p.AwaitExit(p.Signal(syscall.SIGTERM), local.GracePeriod+time.Second) {
 			d.check.recordViolation(noUnexpectedExit, "%s did not stop within its grace period", p.Name)
 			p.Kill()
 		}
