deliv: tell by the handshake which server a client has chosen

A client sends copies of its SYN to several servers and opens the flow at one of them. Its first request, when an entry sent it to another of these, waited at that agent for a free slot before the server returned it: packets of the flow reached only a wrong server, late and several at once, and an entry that probed saw nothing for 25 ms, which it took for the sign of a holder.

The agent sees its server's SYN+ACK, and the client's next packet acknowledges the sequence number of the one it has chosen. An agent now returns a packet that acknowledges another server's, without its own server, and claims the flow of a probe that acknowledges its own. Where it has seen no SYN+ACK, as after a restart, the server decides as before. The flow stays in the table: the packet may be a late one of an earlier flow with the same key.

Found by reading. On the code before, TestRequestToServerThatWasNotChosenIsReturnedAtOnce received no packet at the entry, and TestProbeToChosenServerIsClaimed no claim.

--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -56,8 +56,10 @@
 	// firstSeen is when the agent first saw the flow; saved means that the last saved list contains it.
 	firstSeen time.Time
 	saved     bool
-	// serverNextSeq is the sequence number after the server's last byte, which the client will acknowledge.
+	// serverNextSeq is the sequence number after the server's last byte, which the client will acknowledge. While the flow is
+	// opening, it is that of the server's SYN+ACK, once synAckSeen is set.
 	serverNextSeq uint32
+	synAckSeen    bool
 	// clientNextSeq is the sequence number after the client's last byte.
 	clientNextSeq  uint32
 	clientDataSeen bool
@@ -97,6 +99,34 @@
 	}
 }
 
+// maxUnackedBytes is the most that a server sends ahead of the client's acknowledgements: 16 packets of 1,200 bytes.
+const maxUnackedBytes = 16 * 1200
+
+// handshake is what a client's packet shows of a flow whose handshake isn't complete at the server.
+type handshake uint8
+
+const (
+	// undecided: the packet or the agent's knowledge doesn't show which server the client has chosen.
+	undecided handshake = iota
+	// choseServer: the packet acknowledges the sequence number of this server's SYN+ACK.
+	choseServer
+	// choseAnother: the packet acknowledges another one.
+	choseAnother
+)
+
+// handshakeWith determines by the acknowledgement of a client's packet whether the client has chosen this agent's server, one
+// of those that responded to a copy of its SYN.
+func (f *flowState) handshakeWith(h flow.Header) handshake {
+	switch {
+	case f.phase != phaseOpening || !f.synAckSeen || !h.Ack:
+		return undecided
+	case h.AckNumber-f.serverNextSeq <= maxUnackedBytes:
+		return choseServer
+	default:
+		return choseAnother
+	}
+}
+
 // closeFlow cancels a pending request of a flow and marks the flow as closed. It stays in the table.
 func (a *Agent) closeFlow(key flow.Key, f *flowState) {
 	if f.requestPending {
@@ -160,9 +190,21 @@
 	f.requestQueued, f.dispatchedAt, f.concurrency = false, now, a.queue.Running()
 }
 
+// isHeldElsewhere reports whether the server certainly doesn't hold the flow of a client's packet h, whose state is f or nil. A
+// server that the client didn't choose would return the packet itself, but a request might wait for a slot first.
+func (a *Agent) isHeldElsewhere(key flow.Key, f *flowState, h flow.Header, now time.Time) bool {
+	if f == nil {
+		return !a.serverMayHold(key, now)
+	}
+	return f.handshakeWith(h) == choseAnother
+}
+
 // sendProbe sends the queued packets of a flow to the server at once: the entry waits for the server's decision, and only
-// one of the probed servers holds the flow.
-func (a *Agent) sendProbe(key flow.Key, f *flowState, now time.Time) {
+// one of the probed servers holds the flow. It claims the flow if the probing packet h shows that this server does.
+func (a *Agent) sendProbe(key flow.Key, f *flowState, h flow.Header, now time.Time) {
+	if f.handshakeWith(h) == choseServer {
+		a.sendClaim(key, f)
+	}
 	f.probed = true
 	if f.phase != phaseProbing || !f.requestQueued {
 		return
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -151,7 +151,7 @@
 		}
 		a.resetLostFlow(key, h, "backend server has ended")
 		return
-	case f == nil && !a.serverMayHold(key, now):
+	case a.isHeldElsewhere(key, f, h, now):
 		a.returnToEntry(b, header, from)
 		return
 	case f == nil:
@@ -163,7 +163,7 @@
 	}
 	f.entry = from
 	if header.Kind == encap.Probe {
-		a.sendProbe(key, f, now)
+		a.sendProbe(key, f, h, now)
 	}
 	if a.handleClientData(key, f, h, b[encap.HeaderSize:], now) {
 		a.sendToServer(b[encap.HeaderSize:])
@@ -245,6 +245,7 @@
 		}, now)
 	}
 	if h.Syn && f.phase == phaseOpening {
+		f.synAckSeen = true
 		a.countOpenFlow(f)
 	}
 	if !h.Syn && (f.phase == phaseOpening || f.phase == phaseProbing) {
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -302,3 +303,33 @@
 	restarted.Equal(restarted.agent.gauges().flows, 0)
 	restarted.Equal(restarted.read(restarted.client), nil) // The flow may be open at another server.
 }
+
+// Guards against packets of an open flow that reach only another server: at one that a copy of the SYN went to, and that the
+// client didn't choose, the first request waited for a free slot before the server returned it.
+func TestRequestToServerThatWasNotChosenIsReturnedAtOnce(t *testing.T) {
+	for _, kind := range []encap.Kind{encap.Forward, encap.Probe} {
+		env := newTestEnv(t, true)
+		env.receiveHeartbeat(nil)
+		env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+		env.Equal(env.read(env.server), []byte{1})
+		env.receiveFromServer(2, flow.Header{Syn: true, Ack: true, Seq: 1 << 31})
+		env.fillSlots()
+		env.receiveDatagram(encap.Header{Kind: kind}, 3, flow.Header{Ack: true, AckNumber: 77, Seq: 10, Len: 100})
+		env.Equal(env.readKind(env.entry), encap.Return)
+		env.Equal(env.read(env.server), nil)
+		env.Equal(env.verdict(), seek.Opening) // The packet may be a late one of an earlier flow with the same key.
+	}
+}
+
+// Guards against an entry that takes a server for the holder only because it hasn't returned a probe: the agent of a server that
+// the client has chosen must say so.
+func TestProbeToChosenServerIsClaimed(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true, Seq: math.MaxUint32})
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 3, flow.Header{Ack: true, AckNumber: 0, Seq: 10, Len: 100})
+	env.Equal(env.readKind(env.entry), encap.Claim)
+	env.Equal(env.read(env.server), []byte{3})
+}
