seek: a probe not returned is no sign of a holder while a reply is missing

The only server that hadn't returned a probe within 25 ms was taken for the holder, entered in the flow table and sent the queued packets, also while another agent, as one in a planned stop, hadn't replied. If the flow was open there, its packets reached only another server until that one returned them.

The packets are now dropped then, and the client's next one resumes the search, as where several servers haven't returned theirs.

Found by reading. On the code before, TestUnreturnedProbeIsNotAHolderWhileReplyIsMissing got Forward instead of Drop.

--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -180,7 +180,7 @@
 		return s.probe(targets, now)
 	}
 	if probed := s.probed(now); len(probed) > 0 {
-		return s.evaluateProbes(probed, now)
+		return s.evaluateProbes(probed, unanswered, now)
 	}
 	if unanswered > 0 {
 		return Step{Action: Drop}
@@ -195,15 +195,16 @@
 }
 
 // evaluateProbes returns the next step while probes are pending. After probeTimeout, the only server that has not bounced
-// the packet is taken for the holder. If there are several, the packets are dropped.
-func (s *Search) evaluateProbes(probed []netip.AddrPort, now time.Time) Step {
+// the packet is taken for the holder. If there are several, or agents that haven't replied, the packets are dropped: the
+// holder's agent claims the flow once it knows.
+func (s *Search) evaluateProbes(probed []netip.AddrPort, unanswered int, now time.Time) Step {
 	for i := range s.candidates {
 		c := &s.candidates[i]
 		if !c.probedAt.IsZero() && c.verdict != Denied && now.Sub(c.probedAt) < probeTimeout {
 			return Step{Action: Wait}
 		}
 	}
-	if len(probed) == 1 {
+	if len(probed) == 1 && unanswered == 0 {
 		return Step{Action: Forward, Agents: probed}
 	}
 	return Step{Action: Drop}
--- a/internal/seek/seek_test.go
+++ b/internal/seek/seek_test.go
@@ -125,6 +125,19 @@
 	is.Equal(s.Next(at(2*time.Second)).Action, Drop)
 }
 
+// Guards against packets of an open flow that reach only another server: the server of a SYN copy that hasn't bounced a probe is
+// not the holder by that, while another agent has not replied.
+func TestUnreturnedProbeIsNotAHolderWhileReplyIsMissing(t *testing.T) {
+	is := is.New(t)
+	s := newSearch(agentA, agentB)
+	s.RecordVerdict(agentA, Opening, List)
+	is.Equal(s.Next(at(replyTimeout)), Step{Action: Probe, Agents: []netip.AddrPort{agentA}})
+	is.Equal(s.Next(at(replyTimeout+probeTimeout-time.Millisecond)).Action, Wait)
+	is.Equal(s.Next(at(replyTimeout+probeTimeout)).Action, Drop)
+	s.RecordVerdict(agentB, Denied, Reply)
+	is.Equal(s.Next(at(replyTimeout+probeTimeout)), Step{Action: Forward, Agents: []netip.AddrPort{agentA}})
+}
+
 func TestOpeningFlowIsProbedFirst(t *testing.T) {
 	is := is.New(t)
 	s := newSearch(agentA, agentB)
