relay: tell apart the replies to a duplicated list request

If a request for an agent's flows arrives twice, the agent replies twice, each time with its flows in another order. With the same number of parts, the first part of one reply and the second part of the other counted as a complete list: flows that are in neither were denied, and an open flow could be reset.

Each reply now has an ID, which follows the keys of each part, and parts with different IDs don't complete a list. Agents of earlier releases send none, and entries of earlier releases ignore it, as it is shorter than a key. Parts that arrive after a list is complete no longer change that it is.

Found by reading. Without the comparison of IDs, TestPartsOfTwoRepliesOfSameSizeDoNotCompleteList had a complete list of parts of two replies; on the code before, TestSecondReplyKeepsListComplete had an incomplete one.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -122,6 +122,9 @@
 	// refusalReason is the reason that was published last.
 	refusalReason server.Reason
 	openFlows     int
+	// listReplies is the ID of the latest list reply. It starts at the time of the agent's start, so that a restarted agent
+	// doesn't use one again.
+	listReplies encap.ReplyID
 	// reportedPending is the number of pending requests, queued and running, in the last load report.
 	reportedPending int
 }
@@ -134,7 +137,7 @@
 		serverOpts.ObservedSince = now
 	}
 	a := &Agent{
-		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now,
+		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, listReplies: encap.ReplyID(now.UnixNano()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -73,6 +73,7 @@
 		header.Version = t.Version
 	}
 	groups := a.flowKeys(now)
+	a.listReplies++
 	a.counters.Add("listed", 1)
 	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "flow list sent"); logEntry != nil {
 		fields := []zap.Field{zap.Stringer("entry", to), zap.Uint64("request", part.RequestID)}
@@ -87,7 +88,7 @@
 	for _, g := range groups {
 		header.Verdict = g.verdict
 		for range g.parts() {
-			g.keys = a.sendKeys(header, part, g.keys, to)
+			g.keys = a.sendKeys(header, part, a.listReplies, g.keys, to)
 			part.Index++
 		}
 	}
@@ -128,7 +129,7 @@
 }
 
 // sendKeys sends as many keys as fit into one datagram and returns the rest.
-func (a *Agent) sendKeys(header encap.Header, part encap.ListPart, keys []flow.Key, to netip.AddrPort) []flow.Key {
+func (a *Agent) sendKeys(header encap.Header, part encap.ListPart, reply encap.ReplyID, keys []flow.Key, to netip.AddrPort) []flow.Key {
 	n := min(len(keys), encap.MaxKeysPerReply)
 	b := make([]byte, encap.HeaderSize, encap.HeaderSize+encap.MaxPacketSize)
 	header.Encode(b)
@@ -136,7 +137,7 @@
 	for _, k := range keys[:n] {
 		b = k.Append(b)
 	}
-	a.send(a.opts.EncapConn, b, to)
+	a.send(a.opts.EncapConn, reply.Append(b), to)
 	return keys[n:]
 }
 
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 	"github.com/bergamotrun/bergamotrun/internal/server"
 )
@@ -333,3 +334,27 @@
 	env.Equal(env.readKind(env.entry), encap.Claim)
 	env.Equal(env.read(env.server), []byte{3})
 }
+
+// Guards against parts of two replies to a duplicated list request that are taken for one list.
+func TestRepliesToOneListRequestDiffer(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow() // The flow is listed as opening, and the held ones take another part.
+	replyID := func() encap.ReplyID {
+		_, body, err := encap.Parse(env.read(env.entry))
+		env.NoErr(err)
+		id := encap.ParseReplyID(body)
+		env.True(id != 0)
+		return id
+	}
+	env.agent.mu.Lock()
+	for range 2 {
+		env.agent.sendFlowList(ptest.Addr(env.entry), encap.ListPart{RequestID: 9}.Append(nil), time.Now())
+	}
+	env.agent.mu.Unlock()
+	first := replyID()
+	env.Equal(replyID(), first)
+	second := replyID()
+	env.True(second != first)
+	env.Equal(replyID(), second)
+}
--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -45,18 +45,22 @@
 	Claim
 	// ListFlows requests the keys of all flows that the agent's backend server holds. A ListPart replaces the packet.
 	ListFlows
-	// ListReply replies to a ListFlows. A ListPart and keys replace the packet; a reply may have several parts.
+	// ListReply replies to a ListFlows. A ListPart, keys and the reply's ID replace the packet; a reply may have several parts.
 	ListReply
 )
 
 // Exhaustive is a flag in the Hops field of a ListReply: the backend server holds no flows other than those listed.
 const Exhaustive = 1
 
-// MaxKeysPerReply is the maximum number of keys in a ListReply, which then has 1,220 bytes.
+// MaxKeysPerReply is the maximum number of keys in a ListReply, which then has 1,228 bytes.
 const MaxKeysPerReply = 98
 
-// listPartSize is the size of an encoded ListPart, in bytes.
-const listPartSize = 12
+const (
+	// listPartSize is the size of an encoded ListPart, in bytes.
+	listPartSize = 12
+	// replyIDSize is the size of an encoded ReplyID, in bytes. It is less than flow.KeySize, so that ParseKeys ignores it.
+	replyIDSize = 8
+)
 
 // ListPart identifies a ListFlows or ListReply datagram: the ID of the request, which the reply repeats, and for a reply
 // the index of the part and the total number of parts.
@@ -65,6 +69,21 @@
 	Index, Total uint16
 }
 
+// ReplyID distinguishes the replies to one ListFlows datagram that arrived twice. It follows the keys of each part. Agents of
+// earlier releases send none, which reads as 0.
+type ReplyID uint64
+
+// Append appends the encoded ID, big-endian.
+func (id ReplyID) Append(b []byte) []byte { return binary.BigEndian.AppendUint64(b, uint64(id)) }
+
+// ParseReplyID returns the ID at the end of a ListReply's body, or 0 if there is none.
+func ParseReplyID(body []byte) ReplyID {
+	if len(body) < listPartSize+replyIDSize || (len(body)-listPartSize)%flow.KeySize != replyIDSize {
+		return 0
+	}
+	return ReplyID(binary.BigEndian.Uint64(body[len(body)-replyIDSize:]))
+}
+
 // Append appends the encoded part: request ID (8), index (2) and total (2), big-endian.
 func (p ListPart) Append(b []byte) []byte {
 	b = binary.BigEndian.AppendUint64(b, p.RequestID)
--- a/internal/encap/encap_test.go
+++ b/internal/encap/encap_test.go
@@ -87,3 +87,23 @@
 	_, _, err = ParseListPart(b[:listPartSize-1])
 	is.True(errors.Is(err, ErrTruncated))
 }
+
+// The ID of a reply must not be taken for a key, by processes of earlier releases either, whose replies have none.
+func TestReplyID(t *testing.T) {
+	is := is.New(t)
+	key := flow.NewKey(netip.MustParseAddrPort("100.64.0.7:40001"), netip.MustParseAddrPort("198.18.0.1:443"))
+	for count := range MaxKeysPerReply + 1 {
+		body := ListPart{RequestID: 7, Total: 1}.Append(nil)
+		for range count {
+			body = key.Append(body)
+		}
+		is.Equal(ParseReplyID(body), ReplyID(0))
+		body = ReplyID(1<<60 + 5).Append(body)
+		is.Equal(ParseReplyID(body), ReplyID(1<<60+5))
+		_, keys, err := ParseListPart(body)
+		is.NoErr(err)
+		is.Equal(len(keys), count)
+		is.True(len(body) <= MaxPacketSize)
+	}
+	is.Equal(ParseReplyID(nil), ReplyID(0))
+}
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -55,10 +55,12 @@
 type flowList struct {
 	requestedAt time.Time
 	requestID   uint64
-	// parts has the indexes of the datagrams of the reply received so far, of a total number that each of them tells. mixed
-	// means that these numbers differ, so that the parts are of two replies. complete is set once all parts have arrived.
+	// parts has the indexes of the datagrams of the reply received so far, of a total number that each of them tells with the
+	// reply's ID. mixed means that these differ, so that the parts are of two replies. complete is set once all parts have
+	// arrived.
 	parts           map[uint16]struct{}
 	total           uint16
+	replyID         encap.ReplyID
 	mixed, complete bool
 	// exhaustive means that the backend server holds only the listed flows. version is the agent's configuration version,
 	// the lowest one of all parts.
@@ -76,14 +78,14 @@
 
 // addPart records the arrival of a part. The list is only as good as each of its parts: the agent may have changed while it
 // sent them, or have replied twice.
-func (list *flowList) addPart(part encap.ListPart, header encap.Header) {
+func (list *flowList) addPart(part encap.ListPart, replyID encap.ReplyID, header encap.Header) {
 	exhaustive := header.Hops&encap.Exhaustive != 0
 	if len(list.parts) == 0 {
 		list.parts = make(map[uint16]struct{}, part.Total)
-		list.total, list.exhaustive, list.version = part.Total, exhaustive, header.Version
+		list.total, list.replyID, list.exhaustive, list.version = part.Total, replyID, exhaustive, header.Version
 	}
 	list.parts[part.Index] = struct{}{}
-	list.mixed = list.mixed || part.Total != list.total || part.Index >= part.Total
+	list.mixed = list.mixed || part.Total != list.total || replyID != list.replyID || part.Index >= part.Total
 	list.exhaustive = list.exhaustive && exhaustive
 	list.version = min(list.version, header.Version)
 	list.complete = !list.mixed && len(list.parts) == int(list.total)
@@ -109,7 +111,10 @@
 		list.keys[key] = struct{}{}
 		r.handleListedFlow(agent, key, header, now)
 	}
-	list.addPart(part, header)
+	if list.complete {
+		return // A part of a second reply.
+	}
+	list.addPart(part, encap.ParseReplyID(body), header)
 	if !list.complete {
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -420,6 +420,41 @@
 	tr.True(!list.complete)
 }
 
+// Guards against the reset of an open flow: parts of two replies to one request, as after the request arrived twice, must not
+// make a complete list if both replies have the same number of parts. Each reply has its keys in another order.
+func TestPartsOfTwoRepliesOfSameSizeDoNotCompleteList(t *testing.T) {
+	for _, replies := range [][2]encap.ReplyID{{7, 7}, {7, 8}, {0, 0}} { // Agents of earlier releases send no IDs.
+		tr := newTestRelay(t)
+		tr.sendFromClient(1, ack)
+		list := tr.relay.lists[ptest.Addr(tr.agentA)]
+		for i, reply := range replies {
+			header := encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held}
+			b := make([]byte, encap.HeaderSize)
+			header.Encode(b)
+			b = encap.ListPart{RequestID: list.requestID, Index: uint16(i), Total: 2}.Append(b)
+			b = flow.NewKey(netip.AddrPortFrom(client.Addr(), 5000+uint16(i)), service).Append(b)
+			if reply != 0 {
+				b = reply.Append(b)
+			}
+			tr.relay.handleDatagram(ptest.Addr(tr.agentA), b)
+		}
+		tr.Equal(list.complete, replies[0] == replies[1])
+		tr.Equal(len(list.keys), 2)
+	}
+}
+
+// A second reply must not make a complete list incomplete.
+func TestSecondReplyKeepsListComplete(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	list := tr.relay.lists[ptest.Addr(tr.agentA)]
+	for _, total := range []uint16{1, 2} {
+		tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held},
+			encap.ListPart{RequestID: list.requestID, Total: total})
+		tr.True(list.complete)
+	}
+}
+
 // A search whose client sends no further packet must end: entries would run out of searches and find no flow any more.
 func TestAbandonedSearchIsRemoved(t *testing.T) {
 	tr := newTestRelay(t)
