deliv: don't count flows that a full table has evicted

A full flow table of an agent (50,000 flows, closed ones included) evicts an arbitrary flow. The number of open flows, which entries place new flows by, still included it, and its request stayed in the queue until its deadline. The number was too high for as long as the agent ran.

The table now reports the flow that it evicts, and the agent closes it. Counter flow_evicted.

Found by reading.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -146,6 +146,10 @@
 	if opts.FirstStart {
 		a.tableCompleteAt = now
 	}
+	a.flows.OnEvict(func(k flow.Key, f *flowState) {
+		a.counters.Add("flow_evicted", 1)
+		a.closeFlow(k, f)
+	})
 	a.clientPort = opts.ClientConn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", a.counters)
 	opts.Vars.Set("flows", expvar.Func(func() any { return a.gauges().flows }))
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -480,3 +480,30 @@
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 5, flow.Header{Rst: true})
 	env.Equal(env.agent.Load().Flows, 0)
 }
+
+// Guards against a load report that is too high for as long as the agent runs: flows that a full table evicted stayed in the
+// number of open flows, and their requests in the queue.
+func TestEvictedFlowsAreNotCounted(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.agent.mu.Lock()
+	now := time.Now()
+	for i := range uint16(maxFlows + 100) {
+		k := flow.NewKey(netip.AddrPortFrom(client.Addr(), i), service)
+		f := env.agent.flows.Put(k, flowState{firstSeen: now}, now)
+		env.agent.setPhase(f, phaseOpen)
+		if i%100 == 0 {
+			env.agent.handleClientData(k, f, request, []byte{1}, now)
+		}
+	}
+	pending := 0
+	env.agent.flows.Each(func(_ flow.Key, f *flowState) {
+		if f.requestPending {
+			pending++
+		}
+	})
+	env.agent.mu.Unlock()
+	g := env.agent.gauges()
+	env.Equal(g.flows, maxFlows)
+	env.Equal(g.waiting+g.running, pending)
+}
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -65,3 +65,14 @@
 	is.Equal(table.Len(), 3)
 	is.True(table.Peek(key(4)) != nil)
 }
+
+func TestEvictionIsReported(t *testing.T) {
+	is := is.New(t)
+	table := NewTable[int](time.Minute, 1)
+	var evicted []Key
+	table.OnEvict(func(k Key, _ *int) { evicted = append(evicted, k) })
+	for i := range 3 {
+		table.Put(key(uint16(i)), i, time.Unix(1000, 0))
+	}
+	is.Equal(evicted, []Key{key(0), key(1)})
+}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -7,6 +7,7 @@
 	items       map[Key]*item[V]
 	idleTimeout time.Duration
 	capacity    int
+	evicted     func(Key, *V)
 	// pending holds the keys that the current sweep has yet to check.
 	pending []Key
 }
@@ -24,6 +25,9 @@
 // SetIdleTimeout changes the time after which Sweep removes an unused flow.
 func (t *Table[V]) SetIdleTimeout(idleTimeout time.Duration) { t.idleTimeout = idleTimeout }
 
+// OnEvict sets a function that Put calls for a flow before it is evicted from a full table. The function must not add flows.
+func (t *Table[V]) OnEvict(evicted func(Key, *V)) { t.evicted = evicted }
+
 // ExtendIdleTime gives all flows that much more time until they count as idle.
 func (t *Table[V]) ExtendIdleTime(d time.Duration) {
 	for _, it := range t.items {
@@ -65,16 +69,24 @@
 		return &it.value
 	}
 	if len(t.items) >= t.capacity {
-		for other := range t.items {
-			delete(t.items, other)
-			break
-		}
+		t.evictOne()
 	}
 	it := &item[V]{value: v, lastUsed: now}
 	t.items[k] = it
 	return &it.value
 }
 
+// evictOne removes an arbitrary flow.
+func (t *Table[V]) evictOne() {
+	for k, it := range t.items {
+		if t.evicted != nil {
+			t.evicted(k, &it.value)
+		}
+		delete(t.items, k)
+		return
+	}
+}
+
 // Delete removes a flow.
 func (t *Table[V]) Delete(k Key) { delete(t.items, k) }
 
