relay: remove the lists of agents that are gone

An entry kept the last list of flows of each agent that it had ever asked, also when the agent was gone: its memory grew with each agent that came at a new address.

Found by reading.

--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -96,8 +96,19 @@
 	minListInterval = 400 * time.Millisecond
 	// listReplyTimeout is how long a list reply is awaited before the flow is queried on its own.
 	listReplyTimeout = 25 * time.Millisecond
+	// minListAge is the minimum age of the list of a dead agent at which it is removed: the agent may still reply to a request.
+	minListAge = 5 * time.Second
 )
 
+// sweepLists removes the lists of agents that have failed or are no longer known.
+func (r *Relay) sweepLists(now time.Time) {
+	for agent, list := range r.lists {
+		if now.Sub(list.requestedAt) > minListAge && r.opts.Cluster.Dead(agent) {
+			delete(r.lists, agent)
+		}
+	}
+}
+
 // handleListReply records the flows in one part of an agent's list reply. Flows that are not listed count as denied only
 // after all parts of the reply to the latest request have arrived.
 func (r *Relay) handleListReply(agent netip.AddrPort, header encap.Header, body []byte, now time.Time) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,7 +178,7 @@
 	}
 }
 
-// sweep removes expired flows from the table, and abandoned searches.
+// sweep removes expired flows from the table, abandoned searches and the lists of agents that are gone.
 func (r *Relay) sweep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -186,6 +186,7 @@
 	r.flows.Sweep(now, maxSweptFlows, func(flow.Key, *flowState) { r.counters.Add("flow_expired", 1) })
 	r.unrouted.Sweep(now, maxSweptFlows, func(flow.Key, *time.Time) {})
 	r.sweepSearches(now)
+	r.sweepLists(now)
 }
 
 func (r *Relay) serveClients() error {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -551,3 +551,20 @@
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
 }
+
+// Guards against memory that grows with each agent that was ever asked for its flows: agents come and go at new addresses. The
+// list of an agent that is known stays, and so does a request that may still be replied to.
+func TestListOfGoneAgentIsRemoved(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	a, b := ptest.Addr(tr.agentA), ptest.Addr(tr.agentB)
+	tr.cluster.dead[a] = true
+	tr.relay.sweep()
+	tr.Equal(len(tr.relay.lists), 2)
+	for _, list := range tr.relay.lists {
+		list.requestedAt = list.requestedAt.Add(-2 * minListAge)
+	}
+	tr.relay.sweep()
+	tr.True(tr.relay.lists[a] == nil)
+	tr.True(tr.relay.lists[b] != nil)
+}
