memb: an entry that hears few processes doesn't forget the others

An entry that was cut off from most processes for more than 30 s forgot them. It then heard most of those that it knew, took them for the whole deployment and could reset open flows of the others; without any other entry it also decided alone that a silent agent has failed.

An entry that hears at most half of the processes now forgets one only after the directory hasn't listed it for 30 s: all processes renew their records there, and those of processes that are gone end with their lease. Without the directory it forgets none. An agent forgets entries as before, since it reads the configuration itself once it knows none.

Found by reading. On the code before, TestIsolatedEntryForgetsNoProcess knew all agents once it had forgotten three of five.

--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -154,6 +154,8 @@
 	contacted bool
 	// stopAnnounced is when the last heartbeat came that said that the process is stopping.
 	stopAnnounced time.Time
+	// listedAt is when the directory was last read with the process in it.
+	listedAt time.Time
 }
 
 // New returns a node that knows only itself, and registers its handlers and metrics.
@@ -275,15 +277,16 @@
 	}
 }
 
-// updateSilentPeers marks peers without a recent heartbeat as silent, and removes those without one for lostTimeout, unless
-// other entries receive some. The caller holds the lock.
+// updateSilentPeers marks peers without a recent heartbeat as silent, and removes those that are lost, unless other entries
+// receive heartbeats from them. The caller holds the lock.
 func (n *Node) updateSilentPeers(now time.Time) {
+	isolated := n.opts.Load == nil && len(n.peers) > 0 && !n.hearsMost()
 	for a, p := range n.peers {
 		if !p.silent && now.Sub(p.lastHeartbeat) > silenceTimeout {
 			p.silent = true
 			n.opts.Log.Info("process is silent", zap.Stringer("peer", a), zap.Duration("for", now.Sub(p.lastHeartbeat)))
 		}
-		if now.Sub(p.lastHeartbeat) > lostTimeout && now.Sub(n.suspicions.ContradictedAt(a)) > lostTimeout {
+		if n.isLost(p, isolated, now) && now.Sub(n.suspicions.ContradictedAt(a)) > lostTimeout {
 			r, ok := n.view.Get(a)
 			if ok && r.State == view.Up {
 				r.State, r.Since = view.Lost, now
@@ -294,6 +297,25 @@
 	}
 }
 
+// isLost reports whether no heartbeat came from a process for lostTimeout. An entry that receives heartbeats from few processes
+// is probably cut off from the others: if it forgot them, it would take the rest for the whole deployment. It therefore waits
+// until the directory has not listed the process for lostTimeout either. The caller holds the lock.
+func (n *Node) isLost(p *peer, isolated bool, now time.Time) bool {
+	if now.Sub(p.lastHeartbeat) <= lostTimeout {
+		return false
+	}
+	unlistedFor := n.directoryRead.Sub(latest(p.lastHeartbeat, p.listedAt))
+	return !isolated || unlistedFor > lostTimeout
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // sendHeartbeats sends a round of heartbeats: an agent's to the entries, an entry's to all processes.
 func (n *Node) sendHeartbeats(now time.Time) {
 	n.mu.Lock()
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -258,3 +258,48 @@
 	entry.mu.Unlock()
 	is.True(ready())
 }
+
+// Guards against the reset of open flows by an entry that is cut off from most processes for longer than lostTimeout: it forgot
+// them and took the rest for the whole deployment. The directory ends the wait for processes that are gone.
+func TestIsolatedEntryForgetsNoProcess(t *testing.T) {
+	is := is.New(t)
+	d := new(memoryDirectory)
+	n := newNode(t, d)
+	start := time.Now()
+	n.startedAt, n.directoryRead = start.Add(-time.Minute), start
+	var records []view.Record
+	for i := range 5 {
+		r := agentRecord("desk")
+		r.Packets = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(i + 1)}), 1)
+		r.Control = r.Packets
+		records = append(records, r)
+		n.onState(r.Control, ctrl.State{Record: r})
+	}
+	is.True(n.AllAgentsKnown())
+	// Only the first two are heard from now on.
+	heardUntil := func(now time.Time) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		for _, r := range records[:2] {
+			n.peers[r.Packets].lastHeartbeat = now
+		}
+		for range 2 { // The first one marks the silent, as in the tick before.
+			n.updateSilentPeers(now)
+		}
+	}
+	for after := 2 * time.Second; after < 4*lostTimeout; after += time.Second {
+		heardUntil(start.Add(after))
+		if after%(15*time.Second) == 0 {
+			n.recordDirectoryRead(records, start.Add(after))
+		}
+		is.True(!n.AllAgentsKnown())
+	}
+	last := start.Add(4*lostTimeout - 15*time.Second)
+	n.recordDirectoryRead(records[:2], last.Add(lostTimeout))
+	heardUntil(last.Add(lostTimeout))
+	is.True(!n.AllAgentsKnown())
+	n.recordDirectoryRead(records[:2], last.Add(lostTimeout+time.Second))
+	heardUntil(last.Add(lostTimeout + time.Second))
+	is.True(n.AllAgentsKnown())
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("desk")})), 2)
+}
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -282,9 +282,7 @@
 		return err
 	}
 	n.mergeRecords(records)
-	n.mu.Lock()
-	n.directoryRead = time.Now()
-	n.mu.Unlock()
+	n.recordDirectoryRead(records, time.Now())
 	for _, r := range records {
 		if r.Packets == self.Packets && r.Incarnation == self.Incarnation {
 			return nil
@@ -293,6 +291,18 @@
 	return n.opts.Directory.Register(ctx, self)
 }
 
+// recordDirectoryRead records which processes the directory listed at now.
+func (n *Node) recordDirectoryRead(records []view.Record, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.directoryRead = now
+	for _, r := range records {
+		if p := n.peers[r.Packets]; p != nil {
+			p.listedAt = now
+		}
+	}
+}
+
 // sendHello sends a hello to the seeds: the node's state with RequestPeers set.
 func (n *Node) sendHello() {
 	n.mu.Lock()
