relay: a late SYN retransmission doesn't move an open flow

A client may send a retransmission of its SYN just before it receives the response to an earlier one. If the retransmission came to an entry after the client's next packet, the entry took it for an unanswered SYN and chose another agent: it sent the packets of the open flow there, and if that agent refused the SYN, the client got a reset.

Such a retransmission now goes to the agent that got the flow's later packet, as duplicates do, for 2 s after the SYN.

Found by reading. On the code before, TestLateRetransmissionDoesNotMoveOpenFlow saw no SYN at the first agent.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,8 @@
 	rotationTimeout = 500 * time.Millisecond
 	// maxRetransmissions is how often a client retransmits a SYN.
 	maxRetransmissions = 2
+	// maxOpeningTime is how long after a SYN its last retransmission can arrive. Clients give up a SYN after 1.4 s.
+	maxOpeningTime = 2 * time.Second
 )
 
 // Codec parses and builds packets in the platform's format.
@@ -122,6 +124,8 @@
 	openedAt time.Time
 	// retransmissions is the highest SYN retransmission number seen; the first transmission has number 0.
 	retransmissions uint32
+	// carried is set once a later packet of the flow was sent to the agent.
+	carried bool
 	// lifetimeRecorded is set once the flow is included in its route's lifetime estimate.
 	lifetimeRecorded bool
 	route            string
@@ -227,6 +231,7 @@
 		return
 	}
 	r.recordLifetime(f, h, now)
+	f.carried = true
 	r.counters.Add("carried", 1)
 	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(table), Service: f.service, Entry: r.opts.Self}, b, f.agent)
 }
@@ -293,11 +298,12 @@
 }
 
 // openFlow sends a SYN to the agent chosen for the flow. A retransmission avoids the agent that left the previous SYN
-// unanswered, if there is another one. A duplicate goes to the same agent.
+// unanswered, if there is another one. A duplicate goes to the same agent, and so does a retransmission that is late: the client
+// has received a response since.
 func (r *Relay) openFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	f := r.flows.Get(key, now)
 	avoid := netip.AddrPort{}
-	if f != nil && f.retransmissions >= h.AckNumber {
+	if f != nil && (f.retransmissions >= h.AckNumber || f.carried && now.Sub(f.openedAt) < maxOpeningTime) {
 		r.sendOpen(f.agent, netip.AddrPort{}, f.service, b)
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -172,6 +172,24 @@
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
 }
 
+// Guards against an open flow whose packets go to another agent, and that gets a reset if that one refuses it: a retransmission
+// of its SYN may be overtaken by the client's next packet.
+func TestLateRetransmissionDoesNotMoveOpenFlow(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, syn)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.sendFromClient(2, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.sendFromClient(3, flow.Header{Syn: true, AckNumber: 1})
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+	tr.sendFromClient(4, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.relay.flows.Peek(key).openedAt = time.Now().Add(-maxOpeningTime) // A new flow with the same key.
+	tr.sendFromClient(5, flow.Header{Syn: true, AckNumber: 1})
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
+}
+
 func TestUnknownRouteIsResetOnlyWithFreshConfiguration(t *testing.T) {
 	tr := newTestRelay(t)
 	tr.cluster.table = route.NewTable(6, nil, time.Second)
