deliv: a flow that a full table evicted isn't denied

The agent denied an open flow that it had evicted, since its table counted as complete: an entry without the flow, as after a roll of entries, would have reset it, though its server holds it.

After the eviction of a flow that isn't closed the table is incomplete until the idle timeout has passed. Packets of an evicted flow then go to the server, which decides. A new configuration doesn't end this early.

On the code before, TestEvictedOpenFlowIsNotDenied got "denied != perhaps"; also with the change of Configure alone left out.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -111,8 +111,9 @@
 	serverStarted chan struct{}
 	// waitTimes records how long requests were queued.
 	waitTimes *logs.Histogram
-	// tableCompleteAt is when the flow table begins to hold all flows of the server.
-	tableCompleteAt time.Time
+	// tableCompleteAt is when the flow table begins to hold all flows of the server. incompleteSince is when it last lost some:
+	// the start of the agent, or a later eviction.
+	tableCompleteAt, incompleteSince time.Time
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
@@ -137,7 +138,7 @@
 		serverOpts.ObservedSince = now
 	}
 	a := &Agent{
-		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, listReplies: encap.ReplyID(now.UnixNano()),
+		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(now.UnixNano()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
@@ -146,10 +147,7 @@
 	if opts.FirstStart {
 		a.tableCompleteAt = now
 	}
-	a.flows.OnEvict(func(k flow.Key, f *flowState) {
-		a.counters.Add("flow_evicted", 1)
-		a.closeFlow(k, f)
-	})
+	a.flows.OnEvict(a.handleEviction)
 	a.clientPort = opts.ClientConn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", a.counters)
 	opts.Vars.Set("flows", expvar.Func(func() any { return a.gauges().flows }))
@@ -198,11 +196,22 @@
 	}
 	idle := table.Idle + idleMargin
 	a.flows.SetIdleTimeout(idle)
-	if completeAt := a.startedAt.Add(idle + a.pausedFor); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
+	if completeAt := a.incompleteSince.Add(idle + a.pausedFor); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
 		a.tableCompleteAt = completeAt
 	}
 }
 
+// handleEviction closes a flow that a full table evicts. If the server may hold the flow, the table is incomplete until the flow
+// has been seen again or is idle.
+func (a *Agent) handleEviction(key flow.Key, f *flowState) {
+	a.counters.Add("flow_evicted", 1)
+	if f.phase != phaseClosed {
+		a.incompleteSince = time.Now()
+		a.tableCompleteAt = a.incompleteSince.Add(a.flows.IdleTimeout())
+	}
+	a.closeFlow(key, f)
+}
+
 // Ready reports whether the agent has a configuration and its server accepts new flows.
 func (a *Agent) Ready() bool {
 	a.mu.Lock()
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -507,3 +507,27 @@
 	env.Equal(g.flows, maxFlows)
 	env.Equal(g.waiting+g.running, pending)
 }
+
+// Guards against the reset of an open flow that a full table evicted: the agent denied it, since its table counted as complete.
+// Closed flows may be evicted without that.
+func TestEvictedOpenFlowIsNotDenied(t *testing.T) {
+	for _, phase := range []flowPhase{phaseOpen, phaseOpening, phaseProbing, phaseClosed} {
+		env := newTestEnv(t, false)
+		env.receiveHeartbeat(nil)
+		env.agent.mu.Lock()
+		now := time.Now()
+		env.agent.startedAt, env.agent.tableCompleteAt = now.Add(-time.Hour), now
+		for i := range uint16(maxFlows + 1) {
+			f := env.agent.flows.Put(flow.NewKey(netip.AddrPortFrom(client.Addr(), 10_000+i), service), flowState{firstSeen: now}, now)
+			env.agent.setPhase(f, phase)
+		}
+		want := seek.Perhaps
+		if phase == phaseClosed {
+			want = seek.Denied
+		}
+		env.agent.mu.Unlock()
+		env.Equal(env.verdict(), want)
+		env.agent.Configure(env.cluster.table)
+		env.Equal(env.verdict(), want)
+	}
+}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -25,6 +25,9 @@
 // SetIdleTimeout changes the time after which Sweep removes an unused flow.
 func (t *Table[V]) SetIdleTimeout(idleTimeout time.Duration) { t.idleTimeout = idleTimeout }
 
+// IdleTimeout returns the time after which Sweep removes an unused flow.
+func (t *Table[V]) IdleTimeout() time.Duration { return t.idleTimeout }
+
 // OnEvict sets a function that Put calls for a flow before it is evicted from a full table. The function must not add flows.
 func (t *Table[V]) OnEvict(evicted func(Key, *V)) { t.evicted = evicted }
 
