--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 	"github.com/bergamotrun/bergamotrun/internal/server"
 )
@@ -302,3 +304,57 @@
 	restarted.Equal(restarted.agent.gauges().flows, 0)
 	restarted.Equal(restarted.read(restarted.client), nil) // The flow may be open at another server.
 }
+
+// Guards against packets of an open flow that reach only another server: at one that a copy of the SYN went to, and that the
+// client didn't choose, the first request waited for a free slot before the server returned it.
+func TestRequestToServerThatWasNotChosenIsReturnedAtOnce(t *testing.T) {
+	for _, kind := range []encap.Kind{encap.Forward, encap.Probe} {
+		env := newTestEnv(t, true)
+		env.receiveHeartbeat(nil)
+		env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+		env.Equal(env.read(env.server), []byte{1})
+		env.receiveFromServer(2, flow.Header{Syn: true, Ack: true, Seq: 1 << 31})
+		env.fillSlots()
+		env.receiveDatagram(encap.Header{Kind: kind}, 3, flow.Header{Ack: true, AckNumber: 77, Seq: 10, Len: 100})
+		env.Equal(env.readKind(env.entry), encap.Return)
+		env.Equal(env.read(env.server), nil)
+		env.Equal(env.verdict(), seek.Opening) // The packet may be a late one of an earlier flow with the same key.
+	}
+}
+
+// Guards against an entry that takes a server for the holder only because it hasn't returned a probe: the agent of a server that
+// the client has chosen must say so.
+func TestProbeToChosenServerIsClaimed(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true, Seq: math.MaxUint32})
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 3, flow.Header{Ack: true, AckNumber: 0, Seq: 10, Len: 100})
+	env.Equal(env.readKind(env.entry), encap.Claim)
+	env.Equal(env.read(env.server), []byte{3})
+}
+
+// Guards against parts of two replies to a duplicated list request that are taken for one list.
+func TestRepliesToOneListRequestDiffer(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow() // The flow is listed as opening, and the held ones take another part.
+	replyID := func() encap.ReplyID {
+		_, body, err := encap.Parse(env.read(env.entry))
+		env.NoErr(err)
+		id := encap.ParseReplyID(body)
+		env.True(id != 0)
+		return id
+	}
+	env.agent.mu.Lock()
+	for range 2 {
+		env.agent.sendFlowList(ptest.Addr(env.entry), encap.ListPart{RequestID: 9}.Append(nil), time.Now())
+	}
+	env.agent.mu.Unlock()
+	first := replyID()
+	env.Equal(replyID(), first)
+	second := replyID()
+	env.True(second != first)
+	env.Equal(replyID(), second)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -172,6 +172,24 @@
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
 }
 
+// Guards against an open flow whose packets go to another agent, and that gets a reset if that one refuses it: a retransmission
+// of its SYN may be overtaken by the client's next packet.
+func TestLateRetransmissionDoesNotMoveOpenFlow(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, syn)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.sendFromClient(2, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.sendFromClient(3, flow.Header{Syn: true, AckNumber: 1})
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+	tr.sendFromClient(4, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.relay.flows.Peek(key).openedAt = time.Now().Add(-maxOpeningTime) // A new flow with the same key.
+	tr.sendFromClient(5, flow.Header{Syn: true, AckNumber: 1})
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
+}
+
 func TestUnknownRouteIsResetOnlyWithFreshConfiguration(t *testing.T) {
 	tr := newTestRelay(t)
 	tr.cluster.table = route.NewTable(6, nil, time.Second)
@@ -420,6 +438,41 @@
 	tr.True(!list.complete)
 }
 
+// Guards against the reset of an open flow: parts of two replies to one request, as after the request arrived twice, must not
+// make a complete list if both replies have the same number of parts. Each reply has its keys in another order.
+func TestPartsOfTwoRepliesOfSameSizeDoNotCompleteList(t *testing.T) {
+	for _, replies := range [][2]encap.ReplyID{{7, 7}, {7, 8}, {0, 0}} { // Agents of earlier releases send no IDs.
+		tr := newTestRelay(t)
+		tr.sendFromClient(1, ack)
+		list := tr.relay.lists[ptest.Addr(tr.agentA)]
+		for i, reply := range replies {
+			header := encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held}
+			b := make([]byte, encap.HeaderSize)
+			header.Encode(b)
+			b = encap.ListPart{RequestID: list.requestID, Index: uint16(i), Total: 2}.Append(b)
+			b = flow.NewKey(netip.AddrPortFrom(client.Addr(), 5000+uint16(i)), service).Append(b)
+			if reply != 0 {
+				b = reply.Append(b)
+			}
+			tr.relay.handleDatagram(ptest.Addr(tr.agentA), b)
+		}
+		tr.Equal(list.complete, replies[0] == replies[1])
+		tr.Equal(len(list.keys), 2)
+	}
+}
+
+// A second reply must not make a complete list incomplete.
+func TestSecondReplyKeepsListComplete(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	list := tr.relay.lists[ptest.Addr(tr.agentA)]
+	for _, total := range []uint16{1, 2} {
+		tr.sendListPart(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held},
+			encap.ListPart{RequestID: list.requestID, Total: total})
+		tr.True(list.complete)
+	}
+}
+
 // A search whose client sends no further packet must end: entries would run out of searches and find no flow any more.
 func TestAbandonedSearchIsRemoved(t *testing.T) {
 	tr := newTestRelay(t)
@@ -516,3 +569,20 @@
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
 }
+
+// Guards against memory that grows with each agent that was ever asked for its flows: agents come and go at new addresses. The
+// list of an agent that is known stays, and so does a request that may still be replied to.
+func TestListOfGoneAgentIsRemoved(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	a, b := ptest.Addr(tr.agentA), ptest.Addr(tr.agentB)
+	tr.cluster.dead[a] = true
+	tr.relay.sweep()
+	tr.Equal(len(tr.relay.lists), 2)
+	for _, list := range tr.relay.lists {
+		list.requestedAt = list.requestedAt.Add(-2 * minListAge)
+	}
+	tr.relay.sweep()
+	tr.True(tr.relay.lists[a] == nil)
+	tr.True(tr.relay.lists[b] != nil)
+}
