Agents whose servers have left leave the directory

Cause: an agent stays listed in the directory until its lease of 60 s ends, also if its server has sent its shutdown notice and both have ended. An entry that has started reads the directory and awaits such an agent. Nobody has heard it, so for 8 s nobody confirms its silence: it might be in a planned restart. While a reply is missing no server is probed, and the packets of all flows that aren't in a saved list are dropped.

An agent whose server has sent its shutdown notice, and no heartbeat of a later start, now announces at the end of its stop that it is gone, and ends its lease. By the notice it has reset the server's flows already, and it denies all others, so no verdict changes; an agent beside a living server keeps its lease and the list of flows in it, as before. Agents whose servers crashed for good, or that can't reach the store at their stop, are still listed for up to 60 s.

TestAgentThatIsGoneIsNoPossibleHolder holds what entries did before with such an announcement.

--- a/cmd/deliver.go
+++ b/cmd/deliver.go
@@ -67,6 +67,7 @@
 	})
 	return p.close(p.serve(ctx, a, serveOptions{
 		file: *file, text: text, hangup: hangup, shutdownDelay: deliverShutdownDelay, onStop: a.SaveFlowList,
+		serverLeft:       a.ServerLeft,
 		heartbeatHandler: platform.HeartbeatHandler(a, p.log), heartbeatAddr: s.Announce,
 		parseSettings: func(f string, t []byte) (sett.OpaqueCommon, error) {
 			s, err := sett.ParseDeliver(f, t)
--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -273,6 +273,8 @@
 	inRotation                      func() bool
 	// onStop, if set, is called when the process is about to stop serving.
 	onStop func()
+	// serverLeft reports whether an agent's backend server has ended for good; nil at an entry.
+	serverLeft func() bool
 	// heartbeatHandler is served on heartbeatAddr, the address of the setting announce, where a backend server sends its
 	// heartbeats.
 	heartbeatHandler http.Handler
@@ -313,8 +315,8 @@
 	p.log.Info("process stops", zap.Duration("serves_for", opts.shutdownDelay))
 	p.node.AnnounceStop(view.Draining)
 	opts.finishServing(serveCtx)
-	if p.isEntry {
-		p.node.AnnounceStop(view.Gone) // An agent stays draining: its backend server and the flows may outlive it.
+	if p.isEntry || (opts.serverLeft != nil && opts.serverLeft()) {
+		p.node.AnnounceStop(view.Gone) // Another agent stays draining: its backend server and the flows may outlive it.
 	}
 	return nil
 }
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -263,6 +263,13 @@
 	}
 }
 
+// ServerLeft reports whether the backend server has sent its shutdown notice and no heartbeat of a later start has come.
+func (a *Agent) ServerLeft() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.server.RefusalReason(time.Now()) == server.ReasonLeft
+}
+
 // updateReadiness publishes the state when the server starts or stops accepting new flows, or the reason changes.
 func (a *Agent) updateReadiness(now time.Time) {
 	reason := a.server.RefusalReason(now)
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -451,6 +451,21 @@
 	env.Equal(env.read(env.client), []byte{'R', 57})
 }
 
+// Guards against an agent that leaves the directory, and with it the list of its server's flows, while its server lives.
+func TestServerHasLeftOnlyAfterItsShutdownNotice(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.True(!env.agent.ServerLeft())
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Draining = true })
+	env.agent.HandleShutdown("i-0", time.Now())
+	env.True(!env.agent.ServerLeft())
+	env.agent.HandleShutdown("i-1", time.Now())
+	env.True(env.agent.ServerLeft())
+	env.receiveHeartbeat(func(hb *server.Heartbeat) {
+		hb.ID, hb.Sequence, hb.StartedAt = "i-2", 1, time.Now()
+	})
+	env.True(!env.agent.ServerLeft())
+}
+
 // After a restart, the agent may add flows from the server's packets to its table before the first heartbeat arrives. That
 // heartbeat must not count as a restart of the server, which would reset these flows.
 func TestFirstHeartbeatKeepsLearnedFlows(t *testing.T) {
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -203,6 +203,41 @@
 	is.Equal(d.deregistrations, 0)
 }
 
+// Guards against searches for flows that wait for seconds, after a start of all entries, for an agent that ended with its
+// backend server and is still listed in the directory.
+func TestAgentThatIsGoneLeavesDirectory(t *testing.T) {
+	is := is.New(t)
+	d := new(memoryDirectory)
+	n := newNode(t, d)
+	n.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{} }
+	n.AnnounceStop(view.Draining)
+	n.AnnounceStop(view.Gone)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(n.maintainRegistration(ctx))
+	is.Equal(d.deregistrations, 1)
+}
+
+// Guards against searches that wait for an agent that has said that it ended with its backend server.
+func TestAgentThatIsGoneIsNoPossibleHolder(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	r := agentRecord("desk")
+	services := []uint64{route.ServiceID("desk")}
+	n.onState(otherAddr, ctrl.State{Record: r})
+	is.Equal(len(n.PossibleHolders(services)), 1)
+	r.State, r.Epoch, r.Since = view.Gone, 1, time.Now()
+	n.onState(otherAddr, ctrl.State{Record: r})
+	is.Equal(len(n.PossibleHolders(services)), 0)
+	all, ok := n.AllAgents(10)
+	is.True(ok)
+	is.Equal(len(all), 0)
+	r = agentRecord("mail") // Another agent starts at the address, beside a server of another service.
+	r.Incarnation++
+	n.onState(otherAddr, ctrl.State{Record: r})
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("mail")})), 1)
+}
+
 // Compact heartbeats don't contain the record, and are ignored while the record isn't known. Those without load and
 // configuration version must change neither the load and its age nor the age of the configuration.
 func TestCompactHeartbeats(t *testing.T) {
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -238,14 +238,22 @@
 		}
 		registered, lastRead = true, now
 	})
-	if n.opts.Load == nil {
+	if n.opts.Load == nil || n.isGone() {
 		n.deregister(ctx)
 	}
 	return err
 }
 
-// deregister removes the record of an entry from the directory. An agent stays registered until its lease expires: the lease
-// also holds the list of its backend server's flows, which the next process at its address reads.
+// isGone reports whether this process has announced that it is gone.
+func (n *Node) isGone() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self.State == view.Gone
+}
+
+// deregister removes the record of an entry, or of an agent that is gone, from the directory. Another agent stays registered
+// until its lease expires: the lease also holds the list of its backend server's flows, which the next process at its address
+// reads.
 func (n *Node) deregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), deregisterTimeout)
 	defer cancel()
