deliv: no flow is opened after the final list was collected

What callers would see: after a planned restart of an agent, a request on a flow that was opened just before it waits for a search that probes all servers whose agents can't tell. Cause: the agent let SYNs through to its server while its final list was being saved, up to 0.3 s if the store is slow. The list lacks these flows, and the next process can't tell whether its server holds them. Evidence: found by reading. TestNoFlowIsOpenedAfterFinalList failed before: the SYN wasn't passed on, it went to the server. Change: from the moment the final list is collected, SYNs are passed on to the fallback agent. Those that can't be passed on are dropped, as they would be a moment later, when the process has ended; a reset could reach a client whose flow another server has accepted.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -116,6 +116,8 @@
 	tableCompleteAt, incompleteSince time.Time
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
+	// stopping is set once the final list has been collected.
+	stopping bool
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
 	lastRunAt time.Time
 	// pausedFor is the total time of the pauses.
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -37,10 +37,16 @@
 func (*stubCluster) TriggerHeartbeat()     {}
 func (*stubCluster) NotifyDomain()         {}
 
-// memoryStore holds the saved list of flows in memory.
-type memoryStore struct{ list []byte }
+// memoryStore holds the saved list of flows in memory. beforeSave, if set, runs while a list is being saved.
+type memoryStore struct {
+	list       []byte
+	beforeSave func()
+}
 
 func (s *memoryStore) Save(_ context.Context, list []byte) error {
+	if s.beforeSave != nil {
+		s.beforeSave()
+	}
 	s.list = list
 	return nil
 }
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -167,7 +167,8 @@
 	return err
 }
 
-// SaveFlowList saves the list of flows at shutdown, for the next process at this address.
+// SaveFlowList saves the list of flows at shutdown, for the next process at this address. From then on the agent lets no new
+// flows through to the server, since the list would lack them.
 func (a *Agent) SaveFlowList() {
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
 	defer cancel()
@@ -197,6 +198,7 @@
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stopping = a.stopping || final
 	hb, known := a.server.LastHeartbeat()
 	if !known || !a.mayReplaceList {
 		return nil, false
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -91,6 +91,10 @@
 		a.sendToServer(b[encap.HeaderSize:]) // A retransmission of the SYN.
 		return
 	}
+	if a.stopping {
+		a.passOnOrDrop(header, b)
+		return
+	}
 	if reason := a.refusalFor(header, h, now); reason != server.ReasonNone {
 		a.passOnOrRefuse(key, header, h, b, string(reason))
 		return
@@ -122,7 +126,7 @@
 // passOnOrRefuse passes the SYN of a flow that this server hasn't accepted on to the fallback agent, or refuses the flow
 // with a reset if there is none or the SYN was passed on maxHops times.
 func (a *Agent) passOnOrRefuse(key flow.Key, header encap.Header, h flow.Header, b []byte, reason string) {
-	passOn := header.Hops < maxHops && header.Fallback.IsValid() && header.Fallback != a.opts.Self
+	passOn := a.mayPassOn(header)
 	a.opts.FlowLog.Info("new flow not taken", zap.Stringer("flow", key), zap.String("reason", reason),
 		zap.Bool("passed_on", passOn), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
 	if !passOn {
@@ -130,6 +134,25 @@
 		a.sendReset(h)
 		return
 	}
+	a.passOn(header, b)
+}
+
+// passOnOrDrop passes the SYN of a flow on to the fallback agent, or drops it: the client sends further copies, and a reset
+// could reach a client whose flow another server has accepted.
+func (a *Agent) passOnOrDrop(header encap.Header, b []byte) {
+	if !a.mayPassOn(header) {
+		a.counters.Add("open_dropped", 1)
+		return
+	}
+	a.passOn(header, b)
+}
+
+func (a *Agent) mayPassOn(header encap.Header) bool {
+	return header.Hops < maxHops && header.Fallback.IsValid() && header.Fallback != a.opts.Self
+}
+
+// passOn passes the SYN of a flow on to the fallback agent.
+func (a *Agent) passOn(header encap.Header, b []byte) {
 	a.counters.Add("open_passed_on", 1)
 	to := header.Fallback
 	header.Hops++
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -358,3 +358,25 @@
 	env.True(second != first)
 	env.Equal(replyID(), second)
 }
+
+// Guards against flows that a restarted agent doesn't know although its predecessor stopped as planned: the agent let SYNs
+// through to the server while its final list was being saved.
+func TestNoFlowIsOpenedAfterFinalList(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	other := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.mu.Lock()
+	env.agent.setPhase(env.agent.flows.Put(other, flowState{}, time.Now()), phaseOpen)
+	env.agent.mu.Unlock()
+	saving := false
+	env.store.beforeSave = func() {
+		saving = true
+		env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+		env.Equal(env.readKind(env.fallback), encap.Open) // Passed on.
+		env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5, Hops: 1}, 1, syn)
+		env.Equal(env.read(env.server), nil)
+		env.Equal(env.read(env.client), nil) // No reset: the client sends further copies of the SYN.
+	}
+	env.agent.SaveFlowList()
+	env.True(saving)
+}
