deliv: the final list includes flows whose SYN the server may still accept

Cause: the list had only opening flows whose SYN+ACK had been seen. Evidence: found by reading. TestFinalListIncludesFlowWithoutReplyToSyn failed before: no list was saved. Change: the list also names opening flows that are younger than 1.4 s, after which a client gives up its handshake. If the server didn't accept such a flow, it returns the first packet. Result: go test -race -count=20 ./internal/deliv passes.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -30,6 +30,8 @@
 	// closedFlowTTL is how long after its last packet a closed flow is listed. Either end retransmits what is missing at least
 	// every 1.6 s.
 	closedFlowTTL = 2 * time.Second
+	// maxHandshakeTime is how long a client waits for the response to its first SYN.
+	maxHandshakeTime = 1400 * time.Millisecond
 	// loadRetryInterval is the pause between attempts to load the list.
 	loadRetryInterval = 200 * time.Millisecond
 	// loadTimeout bounds the attempts to load and restore the list. Clients have given up their flows by then.
@@ -52,8 +54,8 @@
 	// Keys has the encoded keys of the flows, NextSeqs their serverNextSeq in the same order.
 	Keys     []byte   `cbor:"3,keyasint"`
 	NextSeqs []uint32 `cbor:"4,keyasint"`
-	// OpeningKeys has the encoded keys of the flows that the server has accepted and that may be open at it. Only the final
-	// list has them.
+	// OpeningKeys has the encoded keys of the flows that the server has accepted, or may still accept, and that may be open at
+	// it. Only the final list has them.
 	OpeningKeys []byte `cbor:"5,keyasint,omitempty"`
 }
 
@@ -231,7 +233,7 @@
 			if !f.saved {
 				unsaved++
 			}
-		case f.phase == phaseOpening && f.counted && final:
+		case f.phase == phaseOpening && final && (f.counted || now.Sub(f.firstSeen) < maxHandshakeTime):
 			s.OpeningKeys = k.Append(s.OpeningKeys)
 			unsaved++
 		}
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -380,3 +380,21 @@
 	env.agent.SaveFlowList()
 	env.True(saving)
 }
+
+// Guards against the same for flows whose SYN was sent to the server just before: the final list must include them, and copies
+// of the SYN may still reach the server.
+func TestFinalListIncludesFlowWithoutReplyToSyn(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	stale := flow.NewKey(netip.AddrPortFrom(client.Addr(), 4001), service)
+	env.agent.flows.Put(stale, flowState{phase: phaseOpening, firstSeen: time.Now().Add(-maxHandshakeTime)}, time.Now())
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.agent.SaveFlowList()
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.True(env.store.list != nil)
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+	env.Equal(encap.ParseKeys(saved.OpeningKeys), []flow.Key{flow.NewKey(client, service)})
+}
