deliv: flows are reset only once a server that sent its notice has ended

What callers would see: resets of open flows at a sound server, as it shuts down. Cause: 50 ms after a shutdown notice the agent reset all flows of the server. A server whose notice isn't acknowledged, since the response was lost, goes on for some seconds. Evidence: found by reading. Change: from the notice on, the server gets no new flows. Its flows are reset once it refuses a connection, which is checked every 100 ms for up to 10 s; a missing response proves nothing. After that, missing heartbeats and packets decide, as after a crash.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -270,13 +270,31 @@
 	return nil
 }
 
-// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
+const (
+	// exitCheckInterval is the time between two checks whether a server that sent a shutdown notice has ended.
+	exitCheckInterval = 100 * time.Millisecond
+	// exitTimeout bounds the checks. A server whose notice isn't acknowledged ends some seconds later.
+	exitTimeout = 10 * time.Second
+)
+
+// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt. It returns when the server has
+// ended, and resets its flows then: a server that doesn't receive the response to its notice goes on for some seconds.
 func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
+	a.mu.Lock()
+	known := a.server.RecordNotice(id, receivedAt)
+	if known {
+		a.updateReadiness(time.Now())
+	}
+	a.mu.Unlock()
+	if !known || !a.awaitExit() {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.server.RecordShutdown(id, receivedAt) {
 		a.resetFlows(func(*flowState) bool { return true }, "the server has left")
-		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
+		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft),
+			zap.Duration("after_notice", time.Since(receivedAt)))
 		a.updateReadiness(time.Now())
 	}
 }
@@ -288,6 +306,20 @@
 	return a.server.RefusalReason(time.Now()) == server.ReasonLeft
 }
 
+// awaitExit waits until the server refuses connections. It returns false if the server doesn't within exitTimeout; its
+// heartbeats and packets then tell whether it runs.
+func (a *Agent) awaitExit() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), exitTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if a.opts.HealthChecker.Refuses(ctx, a.opts.Server) {
+			return true
+		}
+		sleep(ctx, exitCheckInterval)
+	}
+	return false
+}
+
 // updateReadiness publishes the state when the server starts or stops accepting new flows, or the reason changes.
 func (a *Agent) updateReadiness(now time.Time) {
 	reason := a.server.RefusalReason(now)
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -180,12 +180,22 @@
 	return earliest
 }
 
-// RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
-// of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
-func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
+// RecordNotice records the shutdown notice of the server id, which came at receivedAt. The server may go on for some time, but
+// gets no new flows. It reports whether id is the server of the last heartbeat. A server that was first seen after receivedAt
+// has the same id as the one that shuts down.
+func (s *Server) RecordNotice(id string, receivedAt time.Time) bool {
 	if !s.known || s.last.ID != id || s.firstHeartbeatAt.After(receivedAt) {
 		return false
 	}
+	s.last.Draining = true
+	return true
+}
+
+// RecordShutdown is like RecordNotice, for a server that has ended since.
+func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
+	if !s.RecordNotice(id, receivedAt) {
+		return false
+	}
 	s.left = true
 	return true
 }
