agent: IDs of voided requests aren't displaced by those of begun ones

What callers would see: a request runs twice. Cause: an agent recorded the IDs of peers' requests that had begun, and of those that were voided, in one list of 65,536. After that many requests it forgot that one was voided, and ran it if it came late, though its sender knew that it hadn't run and may have run it elsewhere. Evidence: found by reading. TestVoidedRequestIsNotForgotten failed before: the voided request began. Change: two lists of 65,536.

--- a/internal/agent/handover_test.go
+++ b/internal/agent/handover_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -174,6 +175,20 @@
 	is.True(!tracker.begin("early")) // A duplicate.
 }
 
+// TestVoidedRequestIsNotForgotten guards against a request that runs although its sender knows that it doesn't, and may have run
+// it elsewhere: the ID of a voided request was forgotten after 65,536 others.
+func TestVoidedRequestIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	tracker := newRequestTracker()
+	is.True(tracker.void("late"))
+	for i := range maxTrackedHandovers + 1 {
+		is.True(tracker.begin(strconv.Itoa(i)))
+		tracker.end()
+	}
+	is.True(!tracker.begin("late"))
+	is.True(len(tracker.handovers) <= 2*maxTrackedHandovers)
+}
+
 // TestRequestIsNotRunWithoutTLSConnection checks that a request certainly hasn't run if no TLS connection to the peer was
 // established: the peer doesn't respond to the handshake, or refuses the connection.
 func TestRequestIsNotRunWithoutTLSConnection(t *testing.T) {
--- a/internal/agent/tickets.go
+++ b/internal/agent/tickets.go
@@ -14,7 +14,7 @@
 	"github.com/bergamotrun/bergamotrun/pkg/contr"
 )
 
-// maxTrackedHandovers bounds the IDs of peers' requests that are recorded as begun or voided.
+// maxTrackedHandovers bounds the IDs of peers' requests that are recorded as begun, and those that are recorded as voided.
 const maxTrackedHandovers = 1 << 16
 
 // requestTracker holds the retry budget, the ledger of tickets and the IDs of peers' requests. It lasts as long as this
@@ -23,9 +23,10 @@
 	mu          sync.Mutex
 	retryBudget retry.Budget
 	ledger      *ticket.Ledger
-	// handovers has the IDs of peers' requests: true for begun, false for voided. handoverOrder has them by age.
-	handovers     map[string]bool
-	handoverOrder []string
+	// handovers has the IDs of peers' requests: true for begun, false for voided. begunOrder and voidedOrder have them by age:
+	// few requests are voided, and many begun ones must not displace them.
+	handovers               map[string]bool
+	begunOrder, voidedOrder []string
 	// running is the number of peers' requests in progress.
 	running int
 	// idle is not nil once closeWhenIdle was called, and closed when no request of a peer has been in progress since.
@@ -112,12 +113,16 @@
 }
 
 func (t *requestTracker) record(id string, begun bool) {
-	if len(t.handoverOrder) >= maxTrackedHandovers {
-		delete(t.handovers, t.handoverOrder[0])
-		t.handoverOrder = t.handoverOrder[1:]
+	order := &t.voidedOrder
+	if begun {
+		order = &t.begunOrder
+	}
+	if len(*order) >= maxTrackedHandovers {
+		delete(t.handovers, (*order)[0])
+		*order = (*order)[1:]
 	}
 	t.handovers[id] = begun
-	t.handoverOrder = append(t.handoverOrder, id)
+	*order = append(*order, id)
 }
 
 // issueTickets returns n new tickets.
