agent: a reply of an entry that doesn't know the contract keeps the peers

What callers would see: requests refused for lack of capacity though another server has room. Cause: an entry that has just started doesn't know a service's contract yet and lists none of its agents. An agent took that for the list of its peers, and had none until another entry's reply. Evidence: found by reading. TestReplyOfEntryWithoutContractKeepsPeers failed before: no peer was left. Change: the lists of agents in a reply without a contract are ignored. An entry that knows the contract and not all agents yet may still give a short list.

--- a/internal/agent/membership_test.go
+++ b/internal/agent/membership_test.go
@@ -3,12 +3,14 @@
 import (
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/journ"
+	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
 // TestKeysThatCantBeOpenedAreNotInForce guards against an agent that never fetches packet keys again after it once failed to
@@ -26,6 +28,21 @@
 	is.Equal(a.service.get().keySerial, uint64(7))
 }
 
+// TestReplyOfEntryWithoutContractKeepsPeers guards against requests that are refused though a peer has room: an entry that has just
+// started and doesn't know the contract yet lists no agents.
+func TestReplyOfEntryWithoutContractKeepsPeers(t *testing.T) {
+	is := is.New(t)
+	a, peer := newTestAgent(t, "http://127.0.0.1:1"), newTestAgent(t, "http://127.0.0.1:1")
+	record := a.service.get().record
+	is.NoErr(a.applyReply(&ctrl.ServiceReply{Found: true, Record: record, Members: []view.Record{peer.ownRecord()}, Hash: 5}))
+	is.Equal(len(a.peers.reportTargets(false, time.Now())), 1)
+	is.NoErr(a.applyReply(&ctrl.ServiceReply{}))
+	is.Equal(len(a.peers.reportTargets(false, time.Now())), 1)
+	is.Equal(a.service.get().agentsHash, uint64(5))
+	is.NoErr(a.applyReply(&ctrl.ServiceReply{Found: true, Record: record, Hash: 6})) // An entry that knows that it has ended.
+	is.Equal(len(a.peers.reportTargets(false, time.Now())), 0)
+}
+
 // TestConcurrentRepliesDontRestoreOlderContract guards against a reply with an older contract that replaces a newer one because
 // both are merged into the same state.
 func TestConcurrentRepliesDontRestoreOlderContract(t *testing.T) {
--- a/internal/agent/service_state.go
+++ b/internal/agent/service_state.go
@@ -48,9 +48,9 @@
 	if reply.KeySerial > before.keySerial {
 		updated.keySerial = reply.KeySerial
 	}
-	updated.agents = reply.Members
-	updated.goneAgents = reply.Gone
-	updated.agentsHash = reply.Hash
+	if reply.Found { // An entry that doesn't know the contract yet doesn't know the agents either.
+		updated.agents, updated.goneAgents, updated.agentsHash = reply.Members, reply.Gone, reply.Hash
+	}
 	updated.entries = mergeEntries(before.entries, reply.Entries)
 	h.current.Store(&updated)
 	return before, &updated
