tests: log the errors of orders that fail

TestProcessesJoinDrainAndFailDuringStoreOutage failed once beside a load average of about 38 on 8 cores. Its output said "1 != 0": neither which order had failed nor with which error, so the cause could only be guessed from the processes' logs. No program and no check is changed.

Cause: finish returned the errors of failed orders, and all tests compare only their number.

Change: finish logs them.

--- a/tests/scenario_test.go
+++ b/tests/scenario_test.go
@@ -74,10 +74,14 @@
 	}
 }
 
-// finish stops sending orders, waits for the streams to end and returns the errors of failed orders.
+// finish stops sending orders, waits for the streams to end, and logs and returns the errors of failed orders.
 func (tr *traffic) finish() []string {
+	tr.service.cluster.t.Helper()
 	close(tr.stop)
 	tr.wg.Wait()
+	for _, failure := range tr.failed {
+		tr.service.cluster.t.Log(failure)
+	}
 	return tr.failed
 }
 
