tests: a service's port isn't one that the system assigns

TestEntryBindsServiceAddresses looked for a free port by binding it, closed the socket and had entries bind the port later. It then took 5 s longer, until the entry tried again, or failed if the port stayed in use.

Cause: until the entry binds the port, a child process that was forked before may hold a copy of the closed socket, and the system may assign the port to any other socket.

Change: the port is taken by the process ID from 20,000 to 29,999, below the range that Linux assigns by default, and no socket is opened to find it.

--- a/tests/answer_test.go
+++ b/tests/answer_test.go
@@ -20,7 +20,7 @@
 	c.bind = "0.0.0.0"
 	c.workers = 3
 	c.addEntry()
-	port := freePort(t)
+	port := servicePort()
 	desk := c.addServiceAt("desk", netip.AddrPortFrom(c.ip(), port), nil)
 	archive := c.addServiceAt("archive", netip.AddrPortFrom(c.ip(), port), nil) // A different address, the same port.
 	desk.addTarget()
--- a/tests/helpers_test.go
+++ b/tests/helpers_test.go
@@ -4,9 +4,9 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -79,16 +79,9 @@
 	await(c.t, applyTimeout, "the change is in force everywhere", func() bool { return c.inForce("desk", applied, instances) })
 }
 
-// freePort returns a UDP port that is unused on all local addresses at the time of the call.
-func freePort(t *testing.T) uint16 {
-	t.Helper()
-	conn, err := net.ListenUDP("udp4", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
-}
+// servicePort returns a UDP port that entries can bind on all local addresses. The system assigns it to no other socket, and it
+// depends on the process ID, so that concurrent test processes seldom use the same one.
+func servicePort() uint16 { return uint16(20_000 + os.Getpid()%10_000) }
 
 // fetchFields sends a request and returns the whitespace-separated fields of the response body.
 func fetchFields(t testing.TB, c *caller.Client, req *http.Request) []string {
