relay: a late SYN doesn't move a flow that another entry opened

What callers would see: a reset of an open flow, or its packets at another server, as in, after a change of entries. Cause: keeps an open flow at its agent for 2 s after this entry opened it. An entry that found the flow by a search, or in a list, hasn't opened it: it took a late retransmission of the SYN for an unanswered one and chose another agent, though the flow's agent had told it that its server holds the flow. Evidence: found by reading, in a review. TestLateRetransmissionDoesNotMoveFlowOpenedElsewhere failed before: the first agent got no SYN. Change: the 2 s count from when the entry first knew that the flow is open: it sent a later packet to the agent, or an agent reported the flow. TestLateRetransmissionDoesNotMoveOpenFlow sets that time in place of openedAt, and checks the same. Result: go test ./internal/relay passes.

--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -155,7 +155,7 @@
 	if f := r.flows.Peek(key); f != nil {
 		f.agent, f.service = agent, header.Service
 	} else {
-		r.flows.Put(key, flowState{agent: agent, service: header.Service}, now)
+		r.flows.Put(key, flowState{agent: agent, service: header.Service, openSince: now}, now)
 	}
 	if s != nil {
 		r.advance(key, s, now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,7 +46,8 @@
 	rotationTimeout = 500 * time.Millisecond
 	// maxRetransmissions is how often a client retransmits a SYN.
 	maxRetransmissions = 2
-	// maxOpeningTime is how long after a SYN its last retransmission can arrive. Clients give up a SYN after 1.4 s.
+	// maxOpeningTime is how long after its first later packet a retransmission of a flow's SYN can arrive. Clients give up a SYN
+	// after 1.4 s.
 	maxOpeningTime = 2 * time.Second
 )
 
@@ -124,8 +125,9 @@
 	openedAt time.Time
 	// retransmissions is the highest SYN retransmission number seen; the first transmission has number 0.
 	retransmissions uint32
-	// carried is set once a later packet of the flow was sent to the agent.
-	carried bool
+	// openSince is since when this entry has known that the flow is open: it sent a later packet than the SYN to the agent, or
+	// an agent reported the flow.
+	openSince time.Time
 	// lifetimeRecorded is set once the flow is included in its route's lifetime estimate.
 	lifetimeRecorded bool
 	route            string
@@ -231,7 +233,9 @@
 		return
 	}
 	r.recordLifetime(f, h, now)
-	f.carried = true
+	if f.openSince.IsZero() {
+		f.openSince = now
+	}
 	r.counters.Add("carried", 1)
 	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(table), Service: f.service, Entry: r.opts.Self}, b, f.agent)
 }
@@ -303,7 +307,7 @@
 func (r *Relay) openFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	f := r.flows.Get(key, now)
 	avoid := netip.AddrPort{}
-	if f != nil && (f.retransmissions >= h.AckNumber || f.carried && now.Sub(f.openedAt) < maxOpeningTime) {
+	if f != nil && (f.retransmissions >= h.AckNumber || now.Sub(f.openSince) < maxOpeningTime) {
 		r.sendOpen(f.agent, netip.AddrPort{}, f.service, b)
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -185,11 +185,33 @@
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
 	tr.sendFromClient(4, ack)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
-	tr.relay.flows.Peek(key).openedAt = time.Now().Add(-maxOpeningTime) // A new flow with the same key.
+	tr.relay.flows.Peek(key).openSince = time.Now().Add(-maxOpeningTime) // A new flow with the same key.
 	tr.sendFromClient(5, flow.Header{Syn: true, AckNumber: 1})
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
 }
 
+// Guards against the same at an entry that didn't open the flow: it found the agent by a search, or in a list that it requested
+// for another flow.
+func TestLateRetransmissionDoesNotMoveFlowOpenedElsewhere(t *testing.T) {
+	for _, listed := range []bool{false, true} {
+		tr := newTestRelay(t)
+		if listed {
+			tr.relay.handleListedFlow(ptest.Addr(tr.agentA), key, encap.Header{Verdict: seek.Held}, time.Now())
+		} else {
+			tr.sendFromClient(1, ack)
+			tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
+			tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
+			tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
+			tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+		}
+		tr.sendFromClient(2, flow.Header{Syn: true, AckNumber: 1})
+		tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+		tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+		tr.sendFromClient(3, ack)
+		tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	}
+}
+
 func TestUnknownRouteIsResetOnlyWithFreshConfiguration(t *testing.T) {
 	tr := newTestRelay(t)
 	tr.cluster.table = route.NewTable(6, nil, time.Second)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -201,7 +201,7 @@
 func (r *Relay) handleFound(key flow.Key, s *search, agent netip.AddrPort, now time.Time) {
 	r.opts.FlowLog.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.startedAt)))
 	r.counters.Add("found", 1)
-	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route}, now)
+	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now}, now)
 	for _, b := range s.packets {
 		r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, b, agent)
 	}
