deliv: a probe of a flow without a seen handshake isn't queued, and is claimed

What callers would see: after a planned restart of an agent, the first request of a flow that was just opened waits for a client's retransmission, or for a free slot, though the probed server holds it. Cause: the agent restores such a flow as opening and hasn't seen the SYN+ACK. It treated a probe of the flow as a request of its own: queued behind others, with no claim once the server responded. A flow that was first forwarded and then probed wasn't claimed either. Evidence: found by reading, in a review. TestProbeOfRestoredOpeningFlow failed before: the server didn't get the probe. Change: as long as the agent hasn't seen the handshake, a probe goes to the server at once, and the server's response is claimed. A repeated SYN+ACK isn't: servers that the client didn't choose send it, too.

--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
+func (f *flowState) awaitsServer() bool {
+	return f.phase == phaseProbing || f.phase == phaseOpening && !f.synAckSeen
+}
+
+// isConfirmedBy reports whether a packet of the server shows an entry that this is the flow's server. While entries probe, a
+// SYN+ACK doesn't: servers that the client didn't choose send it, too.
+func (f *flowState) isConfirmedBy(h flow.Header) bool { return !h.Rst && !(h.Syn && f.probed) }
+
 // closeFlow cancels a pending request of a flow and marks the flow as closed. It stays in the table.
 func (a *Agent) closeFlow(key flow.Key, f *flowState) {
 	if f.requestPending {
@@ -170,7 +179,7 @@
 	if f.requestPending {
 		return true
 	}
-	if f.probed && f.phase == phaseProbing {
+	if f.probed && f.awaitsServer() {
 		f.requestPending, f.requestedAt = true, now
 		a.startRequest(key, f, now)
 		return true
@@ -206,7 +215,11 @@
 		a.sendClaim(key, f)
 	}
 	f.probed = true
-	if f.phase != phaseProbing || !f.requestQueued {
+	if !f.awaitsServer() {
+		return
+	}
+	f.claimPending = true
+	if !f.requestQueued {
 		return
 	}
 	a.startRequest(key, f, now)
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -275,7 +275,7 @@
 		f.serverRestarts = a.server.Restarts()
 		a.setPhase(f, phaseOpen)
 	}
-	if f.claimPending && !h.Rst {
+	if f.claimPending && f.isConfirmedBy(h) {
 		a.sendClaim(key, f)
 	}
 	a.handleServerData(key, f, h, now)
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -423,3 +423,25 @@
 	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
 	env.Equal(encap.ParseKeys(saved.OpeningKeys), []flow.Key{flow.NewKey(client, service)})
 }
+
+// Guards against a first request that waits for a slot at a server that the client may not have chosen, and against an entry that
+// drops the packets of a flow although it has probed the right server: after a restart the agent hasn't seen the SYN+ACK.
+func TestProbeOfRestoredOpeningFlow(t *testing.T) {
+	first := newTestEnv(t, true)
+	first.receiveHeartbeat(nil)
+	first.openFlow()
+	first.agent.SaveFlowList()
+
+	env := newTestEnv(t, false)
+	env.store.list = first.store.list
+	env.receiveHeartbeat(nil)
+	env.agent.loadFlowList(context.Background())
+	env.Equal(env.verdict(), seek.Opening)
+	env.fillSlots()
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 3, request)
+	env.Equal(env.read(env.server), []byte{3})
+	env.receiveFromServer(4, flow.Header{Syn: true, Ack: true})
+	env.Equal(env.readKind(env.entry), encap.Kind(0)) // A server that the client didn't choose sends its SYN+ACK again, too.
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.readKind(env.entry), encap.Claim)
+}
