memb: processes that are gone don't make an entry isolated

What callers would see: requests on lost flows wait until their deadline instead of being reset, after most processes of a deployment have announced that they are gone, as when it is scaled down. Cause: an entry counted them among the processes that it doesn't hear until it forgot them. It took itself for isolated: it reset no flow and confirmed no agent's failure. Evidence: found by reading, in a review. TestGoneProcessesAreNotAwaited failed before: the entry, with two of two agents heard, knew not all agents. Change: processes that are gone aren't counted. Result: go test -race -count=3 ./internal/memb passes.

--- a/internal/memb/agents.go
+++ b/internal/memb/agents.go
@@ -126,15 +126,20 @@
 	return n.hearsMost()
 }
 
-// hearsMost reports whether heartbeats are received from more than half of the other processes. The caller holds the lock.
+// hearsMost reports whether heartbeats are received from more than half of the other processes that have not said that they are
+// gone. The caller holds the lock.
 func (n *Node) hearsMost() bool {
-	silent := 0
-	for _, p := range n.peers {
+	silent, total := 0, 0
+	for a, p := range n.peers {
+		if r, ok := n.view.Get(a); ok && r.State == view.Gone {
+			continue
+		}
+		total++
 		if p.silent || !p.contacted {
 			silent++
 		}
 	}
-	return len(n.peers) > 0 && silent*2 < len(n.peers)
+	return total > 0 && silent*2 < total
 }
 
 const (
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -238,6 +238,32 @@
 	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("mail")})), 1)
 }
 
+// Guards against an entry that takes itself for isolated, and holds back resets of lost flows, after most processes have announced
+// that they are gone, as when a deployment is scaled down.
+func TestGoneProcessesAreNotAwaited(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	now := time.Now()
+	n.startedAt, n.directoryRead = now.Add(-time.Minute), now
+	for i := range 5 {
+		r := agentRecord("desk")
+		r.Packets = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 2, byte(i + 1)}), 1)
+		r.Control = r.Packets
+		n.onState(r.Control, ctrl.State{Record: r})
+		if i < 3 {
+			r.State, r.Epoch, r.Since = view.Gone, 1, now
+			n.onState(r.Control, ctrl.State{Record: r})
+			n.mu.Lock()
+			n.peers[r.Packets].lastHeartbeat = now.Add(-2 * silenceTimeout)
+			n.mu.Unlock()
+		}
+	}
+	n.mu.Lock()
+	n.updateSilentPeers(now)
+	n.mu.Unlock()
+	is.True(n.AllAgentsKnown())
+}
+
 // Compact heartbeats don't contain the record, and are ignored while the record isn't known. Those without load and
 // configuration version must change neither the load and its age nor the age of the configuration.
 func TestCompactHeartbeats(t *testing.T) {
