--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -504,6 +505,23 @@
 	env.Equal(env.read(env.client), []byte{'R', 57})
 }
 
+// Guards against a sound server that gets no new flows for the rest of its life: the shutdown notice of its predecessor, which had
+// the same ID, may be handled after its first heartbeat, as after a pause of the agent.
+func TestServerThatDoesNotEndTakesFlowsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newTestEnv(t, true)
+		env.health.listening.Store(true)
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 1 })
+		env.agent.HandleShutdown("i-1", time.Now())
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 2 })
+		env.True(env.agent.Ready())
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.Draining = 3, true })
+		env.agent.HandleShutdown("i-1", time.Now())
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 4 })
+		env.True(!env.agent.Ready()) // Its own report that it drains is final.
+	})
+}
+
 // After a restart, the agent may add flows from the server's packets to its table before the first heartbeat arrives. That
 // heartbeat must not count as a restart of the server, which would reset these flows.
 func TestFirstHeartbeatKeepsLearnedFlows(t *testing.T) {
