local: the test of grace periods awaits the script's start

TestPausedTimeIsNotPartOfGracePeriod gave the script 200 ms to set up its handling of SIGTERM. On a busy machine the signal may end the script before, and the test fails: with 0.4 s of sleep at the script's start it did. It now awaits a file that the script writes, and passes with that sleep too. What it checks is the same.

--- a/internal/local/process_test.go
+++ b/internal/local/process_test.go
@@ -52,12 +52,17 @@
 	const limit = 300 * time.Millisecond
 	dir := t.TempDir()
 	script := filepath.Join(dir, "script")
-	is.NoErr(os.WriteFile(script, []byte("#!/bin/sh\ntrap 'test -e \"$0.stop\" && exit 0' TERM\nwhile :; do sleep 0.02; done\n"), 0o700))
+	is.NoErr(os.WriteFile(script, []byte("#!/bin/sh\ntrap 'test -e \"$0.stop\" && exit 0' TERM\n: >\"$0.ready\"\nwhile :; do sleep 0.02; done\n"), 0o700))
 	p, err := newProcess(dir, script, "relay-0", "relay", netip.MustParseAddr("127.0.0.1"), "")
 	is.NoErr(err)
 	is.NoErr(p.Start())
 	defer p.Kill()
-	time.Sleep(200 * time.Millisecond) // Until the script handles SIGTERM.
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) { // Until the script handles SIGTERM.
+		if _, err := os.Stat(script + ".ready"); err == nil {
+			break
+		}
+		is.True(time.Now().Before(deadline))
+	}
 	is.True(!p.AwaitExit(p.Signal(syscall.SIGTERM), limit))
 	is.NoErr(os.WriteFile(script+".stop", nil, 0o600))
 	p.Signal(syscall.SIGSTOP)
