memb: an agent whose clock is behind that of its predecessor is used

What callers would see: requests wait at the other servers or fail, and flows aren't found, since entries ignore an agent for up to two hours. Cause: incarnations come from the wall clock. Entries ignored heartbeats of an earlier incarnation than that of the record they had, without telling the sender. Addresses of machines that are gone are used again, by machines with other clocks. Evidence: found by reading, in a review. TestAgentWithEarlierClockIsUsed failed before: the agent was never ready at the entry. Change: an entry sends the later record back, as it does for a lost process. A process that runs at this address raises its incarnation; the sender of a heartbeat that was only delayed knows the record or has ended. Result: go test -race ./internal/memb ./cmd passes.

--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -336,7 +336,9 @@
 	}
 	p := n.mergePeer(state.Record, now)
 	if p == nil {
+		later, _ := n.view.Get(state.Record.Packets)
 		n.mu.Unlock()
+		n.sendRecords(from, []view.Record{later}) // A process that started with a clock that is behind refutes it.
 		return
 	}
 	p.update(&state, now, n.opts.Log)
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -259,6 +259,31 @@
 	is.True(ready())
 }
 
+// Guards against an agent that gets no new flows, and whose flows no entry finds, for as long as it runs: it started at the address
+// of one that is gone, with a clock that is behind, so that entries took its heartbeats for earlier ones. A delayed heartbeat must
+// not bring the agent that is gone back.
+func TestAgentWithEarlierClockIsUsed(t *testing.T) {
+	is := is.New(t)
+	entry := newGroup(t, 1).entries[0]
+	agent := newEntry(t, netip.MustParseAddrPort("127.0.0.3:1"), new(memoryDirectory))
+	agent.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+	agent.self.Role, agent.self.Service = view.Agent, ServiceNumber(route.ServiceID("intake"))
+	early, gone := agent.self, agent.self
+	gone.Incarnation, gone.Epoch, gone.State, gone.Since = early.Incarnation+4, 2, view.Gone, time.Now()
+	go func() { _ = agent.opts.Link.Serve() }()
+	entry.onState(gone.Control, ctrl.State{Record: gone})
+	entry.onState(early.Control, ctrl.State{Record: early})
+	is.Equal(len(entry.Agents(route.ServiceID("intake"))), 0)
+	agent.onState(entry.self.Control, ctrl.State{Record: entry.self})
+	ready := false
+	for deadline := time.Now().Add(testPeriod); !ready && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		agent.tick()
+		c := entry.Agents(route.ServiceID("intake"))
+		ready = len(c) == 1 && c[0].Ready
+	}
+	is.True(ready)
+}
+
 // Guards against the reset of open flows by an entry that is cut off from most processes for longer than lostTimeout: it forgot
 // them and took the rest for the whole deployment. The directory ends the wait for processes that are gone.
 func TestIsolatedEntryForgetsNoProcess(t *testing.T) {
