deliv: the SYN of a restored flow that the server can't accept is passed on

What callers would see: a connection attempt that ends with a reset, though another server could take it, after an agent's planned stop. The next process sent copies of the SYN to the server without noting their fallback agent; if the server couldn't accept the flow, there was no agent to pass it on to. Evidence: found by reading, in a review. TestSynOfRestoredFlowIsPassedOn failed before: the fallback agent got no SYN. Change: a copy of the SYN supplies the entry, the fallback agent and the hops of a flow without them.

--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -88,6 +88,9 @@
 func (a *Agent) handleOpen(header encap.Header, h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
 	if f := a.flows.Get(key, now); f != nil && f.phase != phaseClosed && f.serverRestarts == a.server.Restarts() {
+		if !f.entry.IsValid() { // The agent knows the flow from a saved list or from the server.
+			f.entry, f.fallback, f.hops = header.Entry, header.Fallback, header.Hops
+		}
 		a.sendToServer(b[encap.HeaderSize:]) // A retransmission of the SYN.
 		return
 	}
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -445,3 +445,23 @@
 	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
 	env.Equal(env.readKind(env.entry), encap.Claim)
 }
+
+// Guards against a reset of a client whose SYN another server could take: a restarted agent didn't learn the fallback agent of a
+// restored flow from a copy of the SYN, which its server couldn't accept.
+func TestSynOfRestoredFlowIsPassedOn(t *testing.T) {
+	first := newTestEnv(t, true)
+	first.receiveHeartbeat(nil)
+	first.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	first.agent.SaveFlowList()
+
+	env := newTestEnv(t, false)
+	env.store.list = first.store.list
+	env.receiveHeartbeat(nil)
+	env.agent.loadFlowList(context.Background())
+	env.Equal(env.verdict(), seek.Opening)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.receiveFromServer(2, flow.Header{Syn: true, Bounced: true})
+	env.Equal(env.readKind(env.fallback), encap.Open)
+	env.Equal(env.read(env.client), nil) // No reset.
+}
