--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -423,3 +423,45 @@
 	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
 	env.Equal(encap.ParseKeys(saved.OpeningKeys), []flow.Key{flow.NewKey(client, service)})
 }
+
+// Guards against a first request that waits for a slot at a server that the client may not have chosen, and against an entry that
+// drops the packets of a flow although it has probed the right server: after a restart the agent hasn't seen the SYN+ACK.
+func TestProbeOfRestoredOpeningFlow(t *testing.T) {
+	first := newTestEnv(t, true)
+	first.receiveHeartbeat(nil)
+	first.openFlow()
+	first.agent.SaveFlowList()
+
+	env := newTestEnv(t, false)
+	env.store.list = first.store.list
+	env.receiveHeartbeat(nil)
+	env.agent.loadFlowList(context.Background())
+	env.Equal(env.verdict(), seek.Opening)
+	env.fillSlots()
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 3, request)
+	env.Equal(env.read(env.server), []byte{3})
+	env.receiveFromServer(4, flow.Header{Syn: true, Ack: true})
+	env.Equal(env.readKind(env.entry), encap.Kind(0)) // A server that the client didn't choose sends its SYN+ACK again, too.
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.Equal(env.readKind(env.entry), encap.Claim)
+}
+
+// Guards against a reset of a client whose SYN another server could take: a restarted agent didn't learn the fallback agent of a
+// restored flow from a copy of the SYN, which its server couldn't accept.
+func TestSynOfRestoredFlowIsPassedOn(t *testing.T) {
+	first := newTestEnv(t, true)
+	first.receiveHeartbeat(nil)
+	first.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	first.agent.SaveFlowList()
+
+	env := newTestEnv(t, false)
+	env.store.list = first.store.list
+	env.receiveHeartbeat(nil)
+	env.agent.loadFlowList(context.Background())
+	env.Equal(env.verdict(), seek.Opening)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.receiveFromServer(2, flow.Header{Syn: true, Bounced: true})
+	env.Equal(env.readKind(env.fallback), encap.Open)
+	env.Equal(env.read(env.client), nil) // No reset.
+}
