Revert "deliv: flows are reset only once a server that sent its notice has ended", and its follow-up

Reverts (internal/deliv, internal/server, platform). They let an agent reset the flows of a server that sent its shutdown notice only once the server refused TCP connections, since a server whose notice isn't acknowledged runs on for seconds.

A review showed that the new evidence is weaker than the old: a reset on connecting counted as "has ended", and a live listener that accepts and closes gives one too (617 of 1000 connections without a pause); a server that closes its listener before its flows, or one that is replaced within the 100 ms between two checks, isn't told apart.

Result: go test ./internal/deliv ./internal/server ./platform passes.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -282,63 +282,24 @@
 	}
 }
 
-const (
-	// exitCheckInterval is the time between two checks whether a server that sent a shutdown notice has ended.
-	exitCheckInterval = 100 * time.Millisecond
-	// exitTimeout bounds the checks. A server whose notice isn't acknowledged ends some seconds later.
-	exitTimeout = 10 * time.Second
-)
-
-// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt. It returns when the server has
-// ended, and resets its flows then: a server that doesn't receive the response to its notice goes on for some seconds. Meanwhile
-// the server gets no new flows. If it doesn't end, its own heartbeats decide again.
+// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
 func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
-	a.mu.Lock()
-	isFirst := a.server.RecordNotice(id, receivedAt)
-	if isFirst {
-		a.updateReadiness(time.Now())
-	}
-	a.mu.Unlock()
-	if !isFirst {
-		return
-	}
-	ended := a.awaitExit()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case !ended:
-		a.server.DismissNotice(id, receivedAt)
-	case a.server.RecordShutdown(id, receivedAt):
+	if a.server.RecordShutdown(id, receivedAt) {
 		a.resetFlows(func(*flowState) bool { return true }, "the server has left")
-		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft),
-			zap.Duration("after_notice", time.Since(receivedAt)))
+		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
+		a.updateReadiness(time.Now())
 	}
-	a.updateReadiness(time.Now())
 }
 
-// ServerLeft reports whether the backend server has ended after its shutdown notice, and no heartbeat of a later start has come.
+// ServerLeft reports whether the backend server has sent its shutdown notice and no heartbeat of a later start has come.
 func (a *Agent) ServerLeft() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.server.RefusalReason(time.Now()) == server.ReasonLeft
 }
 
-// awaitExit waits until the server refuses connections. It returns false if the server doesn't within exitTimeout; its
-// heartbeats and packets then tell whether it runs.
-func (a *Agent) awaitExit() bool {
-	ctx := context.Background()
-	for started := time.Now(); ; sleep(ctx, exitCheckInterval) {
-		// A last check comes after the timeout, since this process may have been paused.
-		expired := time.Since(started) > exitTimeout
-		if a.opts.HealthChecker.Refuses(ctx, a.opts.Server) {
-			return true
-		}
-		if expired {
-			return false
-		}
-	}
-}
-
 // updateReadiness publishes the state when the server starts or stops accepting new flows, or the reason changes.
 func (a *Agent) updateReadiness(now time.Time) {
 	reason := a.server.RefusalReason(now)
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -5,9 +5,7 @@
 	"expvar"
 	"net"
 	"net/netip"
-	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -54,14 +52,6 @@
 }
 func (s *memoryStore) Load(context.Context) ([]byte, bool, error) { return s.list, s.list != nil, nil }
 
-// stubHealthChecker knows whether the server accepts connections.
-type stubHealthChecker struct{ listening atomic.Bool }
-
-func (*stubHealthChecker) Check(context.Context, netip.AddrPort, string) (time.Duration, error) {
-	return 0, nil
-}
-func (c *stubHealthChecker) Refuses(context.Context, netip.AddrPort) bool { return !c.listening.Load() }
-
 var (
 	client    = netip.MustParseAddrPort("127.0.0.9:4000")
 	service   = netip.MustParseAddrPort("198.18.0.1:443")
@@ -75,13 +65,12 @@
 	codec   *stubCodec
 	cluster *stubCluster
 	store   *memoryStore
-	health  *stubHealthChecker
 	// server, entry, fallback and client receive what the agent sends. fallback stands for the fallback agent of new flows.
 	server, entry, fallback, client *net.UDPConn
 }
 
 func newTestEnv(t *testing.T, firstStart bool) *testEnv {
-	env := &testEnv{I: is.New(t), codec: &stubCodec{headers: make(map[byte]flow.Header)}, store: new(memoryStore), health: new(stubHealthChecker)}
+	env := &testEnv{I: is.New(t), codec: &stubCodec{headers: make(map[byte]flow.Header)}, store: new(memoryStore)}
 	env.cluster = &stubCluster{table: route.NewTable(5, []route.Route{{
 		Name: "r", Address: service, Targets: []route.Target{{Service: "desk", Weight: 1}},
 		Objective: time.Second, Timeout: 3 * time.Second,
@@ -93,7 +82,7 @@
 	env.agent = New(Options{
 		EncapConn: encapConn, ServerConn: ptest.Listen(t, "127.0.0.1:0"), ClientConn: clientConn, Server: ptest.Addr(env.server), Service: "desk",
 		HeartbeatInterval: time.Second, FirstStart: firstStart, Self: ptest.Addr(encapConn), Codec: env.codec,
-		Cluster: env.cluster, FlowListStore: env.store, HealthChecker: env.health, Log: zap.NewNop(), FlowLog: zap.NewNop(), Vars: new(expvar.Map),
+		Cluster: env.cluster, FlowListStore: env.store, Log: zap.NewNop(), FlowLog: zap.NewNop(), Vars: new(expvar.Map),
 	})
 	return env
 }
@@ -483,45 +472,6 @@
 	env.True(!env.agent.ServerLeft())
 }
 
-// Guards against the reset of open flows of a sound server: if the response to its shutdown notice is lost, the server goes on
-// for some seconds. It must get no new flows meanwhile.
-func TestServerThatGoesOnAfterNoticeKeepsFlows(t *testing.T) {
-	env := newTestEnv(t, true)
-	env.receiveHeartbeat(nil)
-	env.openFlow()
-	env.receiveFromServer(5, flow.Header{Ack: true, Seq: 7, Len: 50})
-	env.Equal(env.read(env.client), []byte{5})
-	env.health.listening.Store(true)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		env.agent.HandleShutdown("i-1", time.Now())
-	}()
-	env.Equal(env.read(env.client), nil) // No reset.
-	env.Equal(env.verdict(), seek.Held)
-	env.True(!env.agent.Ready())
-	env.health.listening.Store(false)
-	<-done
-	env.Equal(env.read(env.client), []byte{'R', 57})
-}
-
-// Guards against a sound server that gets no new flows for the rest of its life: the shutdown notice of its predecessor, which had
-// the same ID, may be handled after its first heartbeat, as after a pause of the agent.
-func TestServerThatDoesNotEndTakesFlowsAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		env := newTestEnv(t, true)
-		env.health.listening.Store(true)
-		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 1 })
-		env.agent.HandleShutdown("i-1", time.Now())
-		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 2 })
-		env.True(env.agent.Ready())
-		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.Draining = 3, true })
-		env.agent.HandleShutdown("i-1", time.Now())
-		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 4 })
-		env.True(!env.agent.Ready()) // Its own report that it drains is final.
-	})
-}
-
 // After a restart, the agent may add flows from the server's packets to its table before the first heartbeat arrives. That
 // heartbeat must not count as a restart of the server, which would reset these flows.
 func TestFirstHeartbeatKeepsLearnedFlows(t *testing.T) {
--- a/internal/deliv/health_check.go
+++ b/internal/deliv/health_check.go
@@ -22,8 +22,6 @@
 type HealthChecker interface {
 	// Check returns the response time, or an error if the server is not healthy.
 	Check(ctx context.Context, server netip.AddrPort, path string) (time.Duration, error)
-	// Refuses reports whether a server refuses connections, so that it has certainly ended. A missing response proves nothing.
-	Refuses(ctx context.Context, server netip.AddrPort) bool
 }
 
 // runHealthChecks measures the response time of health checks after each start of the server. It is the first estimate
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -135,7 +135,7 @@
 	if restarted {
 		s.restarts++
 	}
-	s.noticed, s.left = false, false
+	s.left = false
 	s.firstHeartbeatAt = now
 	s.unansweredOpens = 0
 	s.lastPacketAt = now
@@ -180,37 +180,15 @@
 	return earliest
 }
 
-// RecordNotice records the shutdown notice of the server id, which came at receivedAt. The server may go on for some time, but
-// gets no new flows. It reports whether this is the first notice of the server of the last heartbeat.
-func (s *Server) RecordNotice(id string, receivedAt time.Time) bool {
-	if s.noticed || !s.isNoticeOfCurrentStart(id, receivedAt) {
-		return false
-	}
-	s.noticed = true
-	return true
-}
-
-// DismissNotice takes a notice back: the server hasn't ended, so that the notice was probably that of an earlier start.
-func (s *Server) DismissNotice(id string, receivedAt time.Time) {
-	if s.isNoticeOfCurrentStart(id, receivedAt) {
-		s.noticed = false
-	}
-}
-
-// RecordShutdown records that the server has ended after its notice. It reports whether it was the server of the last heartbeat.
+// RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
+// of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
 func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
-	if !s.isNoticeOfCurrentStart(id, receivedAt) {
+	if !s.known || s.last.ID != id || s.firstHeartbeatAt.After(receivedAt) {
 		return false
 	}
 	s.left = true
 	return true
 }
 
-// isNoticeOfCurrentStart reports whether a notice of the server id that came at receivedAt may be of the current start. A server
-// that was first seen after receivedAt has the same id as the one that shuts down.
-func (s *Server) isNoticeOfCurrentStart(id string, receivedAt time.Time) bool {
-	return s.known && s.last.ID == id && !s.firstHeartbeatAt.After(receivedAt)
-}
-
 // LastHeartbeat returns the last heartbeat; ok is false before the first one.
 func (s *Server) LastHeartbeat() (hb Heartbeat, ok bool) { return s.last, s.known }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,9 +45,8 @@
 type Server struct {
 	opts Options
 
-	known bool
-	// noticed means that the server's shutdown notice came, left that it has ended since.
-	noticed, left   bool
+	known           bool
+	left            bool
 	restarts        int
 	last            Heartbeat
 	lastHeartbeatAt time.Time
@@ -99,7 +98,7 @@
 		return ReasonNoHeartbeat
 	case s.left:
 		return ReasonLeft
-	case s.known && (s.last.Draining || s.noticed):
+	case s.known && s.last.Draining:
 		return ReasonDraining
 	case s.known && now.Sub(s.lastHeartbeatAt) > heartbeatTimeoutIntervals*s.opts.HeartbeatInterval &&
 		now.Sub(s.lastPacketAt) > s.opts.HeartbeatInterval:
