Revert "deliv: a server counts as new only if no saved list names its start"

With it an agent beside a new server can't tell whether the server holds a flow until the saved list was read, so for up to 10 s when the store is down. Found in a review, by reading. What it mended needs a wall clock that is set back by the age of a cold server while its agent restarts: rarer.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -116,8 +116,6 @@
 	tableCompleteAt, incompleteSince time.Time
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
-	// seemsNew means that the server's first heartbeat shows it to be new, unless the saved list is one of its flows.
-	seemsNew bool
 	// stopping is set once the final list has been collected.
 	stopping bool
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
@@ -252,11 +250,9 @@
 	}
 	if change == server.ChangeStarted {
 		restarted := a.server.Restarts() != restarts
-		if restarted || hb.StartedSince(a.startedAt, now, a.opts.HeartbeatInterval) {
+		if restarted || hb.IsNew(now, a.opts.HeartbeatInterval) || hb.StartedSince(a.startedAt, now, a.opts.HeartbeatInterval) {
 			a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
 		}
-		a.seemsNew = hb.IsNew(now, a.opts.HeartbeatInterval)
-		a.completeTableOfNewServer(now)
 		a.keepFlowsSince(hb.EarliestStart(now, a.opts.HeartbeatInterval))
 		a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 		select {
@@ -274,14 +270,6 @@
 	return nil
 }
 
-// completeTableOfNewServer makes the table complete if the server is new. The start time alone doesn't show it, since the clock may
-// have been set back: a saved list of the same start contradicts, so that it must have been read.
-func (a *Agent) completeTableOfNewServer(now time.Time) {
-	if a.seemsNew && a.mayReplaceList {
-		a.tableCompleteAt = now
-	}
-}
-
 // HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
 func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
 	a.mu.Lock()
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -251,7 +251,6 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.mayReplaceList = ctx.Err() == nil
-		a.completeTableOfNewServer(time.Now())
 	}()
 	started := time.Now()
 	for ctx.Err() == nil && time.Since(started) < loadTimeout {
@@ -319,7 +318,6 @@
 		}
 		return true
 	}
-	a.seemsNew = false // An earlier agent has seen this start of the server.
 	a.restoreFlows(keys, s.NextSeqs, route.ServiceID(hb.Service), now)
 	opening := encap.ParseKeys(s.OpeningKeys)
 	a.restoreOpeningFlows(opening, route.ServiceID(hb.Service), now)
