tests: TestHangupDuringStartIsNotFatal has a time limit

It opened the FIFO without one, so that it would have waited forever for a process that ended before it read its settings. Found in a review. What it checks is the same.

--- a/tests/signal_test.go
+++ b/tests/signal_test.go
@@ -23,8 +23,12 @@
 			cmd := exec.Command(binary, command, "-config", file)
 			is.NoErr(cmd.Start())
 			defer func() { _ = cmd.Process.Kill() }()
-			settings, err := os.OpenFile(file, os.O_WRONLY, 0) // Returns when the process has opened the file for reading.
-			is.NoErr(err)
+			var settings *os.File
+			await(t, readyTimeout, "the process reads its settings", func() bool {
+				var err error
+				settings, err = os.OpenFile(file, os.O_WRONLY|syscall.O_NONBLOCK, 0) // Fails until the process has opened the file.
+				return err == nil
+			})
 			is.NoErr(cmd.Process.Signal(syscall.SIGHUP))
 			time.Sleep(100 * time.Millisecond)
 			_, _ = settings.WriteString("unknown = 1\n") // Fails if the process has ended.
