fabric: services with chosen ports have different ports

No program is changed.

Cause: the test network lets the system choose a port for each service, at addresses that differ, so that two services could get the same one. The entries of the tests bind one address each and tell services apart by the port. Evidence: with one port for both services the test fails with the same message. Change: a chosen port is one that no other service of the network has.

That entries which bind one address accept contracts with one port for two services is left as it is, and reported.

--- a/internal/fabric/fabric.go
+++ b/internal/fabric/fabric.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,20 +69,36 @@
 	}
 }
 
-// AddService listens on the address of a service and returns it. With port 0 it chooses a free port.
+// AddService listens on the address of a service and returns it. With port 0 it chooses one that no other service has: entries that
+// bind a single address tell services apart by their ports.
 func (f *Fabric) AddService(addr netip.AddrPort) (netip.AddrPort, error) {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
-	if err != nil {
-		return netip.AddrPort{}, errors.Wrapf(err, "fabric: listen on %s", addr)
-	}
 	f.mu.Lock()
-	f.serviceConns = append(f.serviceConns, conn)
-	f.mu.Unlock()
-	bound := conn.LocalAddr().(*net.UDPAddr).AddrPort()
-	go f.forwardToEntries(conn, bound)
-	return bound, nil
+	defer f.mu.Unlock()
+	for {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+		if err != nil {
+			return netip.AddrPort{}, errors.Wrapf(err, "fabric: listen on %s", addr)
+		}
+		bound := localAddr(conn)
+		if addr.Port() == 0 && f.hasPort(bound.Port()) {
+			if err := conn.Close(); err != nil {
+				return netip.AddrPort{}, errors.Wrap(err, "fabric: choose a port")
+			}
+			continue
+		}
+		f.serviceConns = append(f.serviceConns, conn)
+		go f.forwardToEntries(conn, bound)
+		return bound, nil
+	}
 }
 
+// hasPort reports whether a service has the port. The caller holds mu.
+func (f *Fabric) hasPort(port uint16) bool {
+	return slices.ContainsFunc(f.serviceConns, func(c *net.UDPConn) bool { return localAddr(c).Port() == port })
+}
+
+func localAddr(conn *net.UDPConn) netip.AddrPort { return conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
 // SetEntries sets the IP addresses of the entries that receive datagrams.
 func (f *Fabric) SetEntries(entries ...netip.Addr) {
 	f.mu.Lock()
