--- a/tests/fault_test.go
+++ b/tests/fault_test.go
@@ -73,6 +73,23 @@
 	rec.report(t)
 }
 
+// TestHandOverIsAwaitedWithNewIDs guards against tests that fail because a request whose first try was truthfully reported as not
+// run ran in a later try with the same ID.
+func TestHandOverIsAwaitedWithNewIDs(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	ctx, _, desk, rec := startDesk(t, 2)
+	h := &handOverScenario{ctx: ctx, desk: desk, rec: rec, home: desk.addTarget(), client: desk.caller(1)}
+	is.NoErr(rec.send(ctx, desk, h.client, testRequest{http.MethodGet, "/work/a?ms=1", "first", ""}))
+	h.home.server.SetFaults(drainingServer)
+	desk.awaitAgentState(h.home, "draining", maxDrainNotice)
+	h.peer = desk.startTargetAt(desk.cluster.ip()) // Until it is ready, home refuses requests.
+	h.awaitHandOver(t, "warm")
+	is.True(len(rec.notRun) > 0)
+	rec.checkRuns(backendServers(desk)...)
+	rec.report(t)
+}
+
 // TestPeerKilledDuringHandOver checks that the caller learns at once that an order may have run if the peer that runs it is
 // killed.
 func TestPeerKilledDuringHandOver(t *testing.T) {
