--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -125,7 +125,7 @@
 		return err
 	}
 	p.controlClient = ctrl.NewClient(tlsConfig, controlCounters)
-	store := platform.NewStore(s.Store, storeCounters)
+	store := platform.NewStore(s.Store, p.log, storeCounters)
 	p.directory = platform.NewDirectory(store)
 	record := view.Record{
 		Packets: s.Hops, Control: s.Control, Role: opts.role, Domain: s.Domain, State: view.Up,
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -174,6 +174,7 @@
 	opts.Link.SetHandler(ctrl.KindSilenceReply, ctrl.TypedHandler(n.onSilenceReply))
 	opts.Vars.Add(agentsFailedCounter, 0)
 	opts.Vars.Add(silenceContradictedCounter, 0)
+	opts.Vars.Add(olderConfigsCounter, 0)
 	opts.Vars.Set("config_version", expvar.Func(func() any { return n.ConfigVersion() }))
 	opts.Vars.Set("config_age_seconds", expvar.Func(func() any { return n.ConfigAge().Seconds() }))
 	opts.Vars.Set("processes_known", expvar.Func(func() any { return n.peerCount() }))
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -159,6 +159,9 @@
 // watcherSeed makes the order of watchers independent of other orders by hash.
 const watcherSeed = 0x77617463
 
+// olderConfigsCounter counts the configurations that were read and are older than the one in force.
+const olderConfigsCounter = "older_configs_read"
+
 // adopt puts a configuration in force unless the one in force is as new or newer. confirmed is when it was known
 // to be the newest, the zero time if unknown; source is for the log.
 func (n *Node) adopt(table *route.Table, confirmed time.Time, source string) {
@@ -167,7 +170,13 @@
 	n.mu.Lock()
 	n.freshness.Confirm(table.Version, confirmed, rand.Float64())
 	if table.Version <= n.configVersion() && n.table != nil {
+		older, inForce := table.Version < n.configVersion(), n.configVersion()
 		n.mu.Unlock()
+		if older && source != "watch" {
+			n.opts.Vars.Add(olderConfigsCounter, 1)
+			n.opts.Log.Warn("configuration is older than the one in force", zap.Uint64("version", table.Version),
+				zap.Uint64("in_force", inForce), zap.String("from", source))
+		}
 		return
 	}
 	previous := n.configVersion()
@@ -281,7 +290,7 @@
 		}
 	}
 	if !registered {
-		if err := n.opts.Directory.Register(ctx, self); err != nil {
+		if err := n.register(ctx, self, "start or lost lease"); err != nil {
 			return err
 		}
 	}
@@ -296,7 +305,16 @@
 			return nil
 		}
 	}
-	return n.opts.Directory.Register(ctx, self)
+	return n.register(ctx, self, "not listed")
+}
+
+// register writes the record of this process to the directory; why is for the log.
+func (n *Node) register(ctx context.Context, self view.Record, why string) error {
+	if err := n.opts.Directory.Register(ctx, self); err != nil {
+		return err
+	}
+	n.opts.Log.Info("registered in the directory", zap.String("why", why), zap.Uint64("incarnation", self.Incarnation))
+	return nil
 }
 
 // recordDirectoryRead records which processes the directory listed at now.
