--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -26,7 +26,8 @@
 		usage: "Usage: bergamotrun dev [flags]\n\nRuns a full-size deployment in one process, with fakes for the store, the network and the\n" +
 			"backend servers, until SIGINT or SIGTERM. With -check it sends requests and holds streams open while every entry is\n" +
 			"replaced and one agent drains, prints a summary, and fails on any error. With -opaque it runs the commands\n" +
-			"for opaque flows as child processes instead, and stops them on exit.\n\n" +
+			"for opaque flows as child processes instead, and stops them on exit; with -rollback the store then returns from an older\n" +
+			"copy again and again.\n\n" +
 			"Example: bergamotrun dev -deployment kalfaoglu\n\n",
 		run: runDev,
 	}
@@ -39,11 +40,15 @@
 	level := inv.flags.String("log", "error", "log `level`: debug, info, warn or error")
 	opaque := inv.flags.Bool("opaque", false, "run the commands for opaque flows")
 	slot := inv.flags.Int("slot", 0, "`number` of the address range; use different ones for opaque deployments that run at the same time")
+	rollback := inv.flags.Duration("rollback", 0, "with -opaque: `age` of the copy from which the store returns, again and again; 0 for never")
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
+	if *rollback < 0 || (*rollback > 0 && (!*opaque || *check)) {
+		return errors.Errorf("-rollback %s: must be positive, and used with -opaque and without -check", *rollback)
+	}
 	if *opaque {
-		return inv.runDevOpaque(ctx, *check, *slot)
+		return inv.runDevOpaque(ctx, *check, *slot, *rollback)
 	}
 	log, err := newLog(inv.stderr, *level)
 	if err != nil {
@@ -102,8 +107,9 @@
 	return executable, dir, errors.Wrap(err, "create directory for settings and logs")
 }
 
-// runDevOpaque runs the commands for opaque flows on this machine, for a check or until ctx is done.
-func (i *invocation) runDevOpaque(ctx context.Context, check bool, slot int) error {
+// runDevOpaque runs the commands for opaque flows on this machine, for a check or until ctx is done. If rollback isn't 0, the store
+// returns again and again from a copy of that age.
+func (i *invocation) runDevOpaque(ctx context.Context, check bool, slot int, rollback time.Duration) error {
 	executable, dir, err := executableAndDir("dev", "")
 	if err != nil {
 		return err
@@ -125,10 +131,19 @@
 		i.printf("%-10s metrics http://%s/metrics\n", p.Name, p.Metrics())
 	}
 	i.printf("\nSettings and logs are in %s. Stop with Ctrl-C.\n", dir)
+	for rollback > 0 && ctx.Err() == nil {
+		if err := d.RollBackStore(ctx, rollback, rollback/rollbackOutageFraction); err != nil {
+			return err
+		}
+		i.printf("the store has returned from a copy of %s ago\n", rollback)
+	}
 	<-ctx.Done()
 	return nil
 }
 
+// rollbackOutageFraction is the age of a copy as a multiple of the time for which the store is unavailable before it returns to it.
+const rollbackOutageFraction = 4
+
 // serveDev prints the addresses of the deployment and example commands, and serves until ctx is done.
 func serveDev(ctx context.Context, inv *invocation, d *devel.Deployment, log *zap.Logger) error {
 	ca, err := writeCA(d)
--- a/internal/local/check.go
+++ b/internal/local/check.go
@@ -25,6 +25,10 @@
 	newFlowInterval        = 40 * time.Millisecond
 	// checkTimeout is the timeout of a request.
 	checkTimeout = 3 * time.Second
+	// checkCopyAge is the age of the copy from which the store returns, checkOutage how long it is unavailable before. The agent and
+	// one entry are restarted meanwhile.
+	checkCopyAge = 3 * time.Second
+	checkOutage  = time.Second
 )
 
 // CheckOptions returns the options of the deployment that Check uses: two services with three backend servers each, and
@@ -50,7 +54,7 @@
 }
 
 // Check starts a deployment and sends requests on new and persistent flows while a backend server drains, and then an
-// agent and each entry are restarted. It reports progress through progress.
+// agent and each entry are restarted, while the store returns from an older copy. It reports progress through progress.
 func Check(ctx context.Context, opts Options, progress func(format string, args ...any)) (devel.CheckResult, error) {
 	c := &check{progress: progress, runs: make(map[string]int)}
 	opts.Watcher = c
@@ -116,6 +120,8 @@
 	draining := c.d.Agents[0]
 	c.progress("server beside %s drains", draining.Name)
 	c.d.Server(draining).Drain()
+	restored := make(chan error, 1)
+	go func() { restored <- c.d.RollBackStore(ctx, checkCopyAge, checkOutage) }()
 	for _, p := range append([]*Process{c.d.Agents[1]}, c.d.Entries...) {
 		c.progress("replacing %s", p.Name)
 		select {
@@ -131,7 +137,7 @@
 			return err
 		}
 	}
-	return nil
+	return <-restored
 }
 
 func (c *check) serviceName(i int) string {
--- a/internal/local/config.go
+++ b/internal/local/config.go
@@ -1,7 +1,9 @@
 package local
 
 import (
+	"context"
 	"math/rand/v2"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -49,6 +51,7 @@
 		routes = append(routes, d.newRoute(s.Name, d.serviceAddrs[s.Name], s.Name))
 	}
 	version := d.configVersion
+	d.lastRoutes = routes
 	d.mu.Unlock()
 	if err := d.Store.Configure(version, routes, idleTimeout); err != nil {
 		return err
@@ -56,3 +59,41 @@
 	d.opts.Watcher.Configured(routes)
 	return nil
 }
+
+// RollBackStore makes the store unavailable after copyAge, and outage later return to a copy of now, with the newest configuration
+// written again.
+func (d *Deployment) RollBackStore(ctx context.Context, copyAge, outage time.Duration) error {
+	c := d.Store.Copy()
+	sleep(ctx, copyAge)
+	d.Store.Inject(fakes.Faults{RejectStatus: http.StatusServiceUnavailable})
+	sleep(ctx, outage)
+	d.Store.Inject(fakes.Faults{})
+	return d.RestoreStore(c, 0)
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// RestoreStore returns the store to a copy, and writes the newest configuration again after operatorDelay, as the operator does.
+func (d *Deployment) RestoreStore(c *fakes.Copy, operatorDelay time.Duration) error {
+	d.Store.Restore(c)
+	time.Sleep(operatorDelay)
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
+	d.mu.Lock()
+	version, routes := d.configVersion, d.lastRoutes
+	d.mu.Unlock()
+	return d.Store.Configure(version, routes, idleTimeout)
+}
+
+// directoryPrefix begins the keys of the records that processes write to the store; their packet addresses follow.
+const directoryPrefix = "bergamotrun/process/"
+
+// RecordKey returns the key of a process's record in the store.
+func (d *Deployment) RecordKey(p *Process) string {
+	return directoryPrefix + netip.AddrPortFrom(p.IP, portHops).String()
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -118,7 +118,9 @@
 	configVersion  uint64
 	// extraRoutes are the routes added by ChangeRoutes.
 	extraRoutes []fakes.Route
-	clients     []*fakes.Client
+	// lastRoutes are the routes of the newest configuration.
+	lastRoutes []fakes.Route
+	clients    []*fakes.Client
 }
 
 // placement is the position of a backend server: the index of its service, its index in the service and its failure
--- a/internal/local/process.go
+++ b/internal/local/process.go
@@ -198,6 +198,13 @@
 	return !p.paused && now.Sub(p.lastDisturbed) > window
 }
 
+// Running reports whether the process has been running since a time and hasn't been sent SIGTERM.
+func (p *Process) Running(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && !p.paused && !p.exitExpected && p.startedAt.Before(since)
+}
+
 // RewriteSettings replaces the settings file by one with an empty comment at its end, which changes no setting. A process that
 // reads the file meanwhile gets the whole of either.
 func (p *Process) RewriteSettings() error {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -19,6 +19,7 @@
 	openFlowsKept       = "open flows are kept"
 	serviceRecovers     = "service recovers"
 	noUnexpectedExit    = "no process ends by itself"
+	processesListed     = "processes are listed in the directory"
 )
 
 // violation is an observation that breaks an invariant.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -6,12 +6,15 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/platform/fakes"
 )
 
@@ -168,7 +171,7 @@
 // Packets of an open flow that reach only another server are reported, and so is nothing while the flow's server gets some.
 func TestStrayPacketsAreChecked(t *testing.T) {
 	is := is.New(t)
-	d := newTestDeployment(t, 32)
+	d := newTestDeployment(t, 24)
 	client, service := clientAddress, deskAddress
 	now := time.Now()
 	for i := range maxStrayPackets {
@@ -185,6 +188,42 @@
 	is.Equal(d.takeViolations(), "")
 }
 
+// After the store's return from an older copy, a process that is missing in the directory, has an older record there or shares its
+// lease is reported; one that has ended isn't.
+func TestRecordsAreChecked(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dir := t.TempDir()
+	script := filepath.Join(dir, "script")
+	is.NoErr(os.WriteFile(script, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700))
+	d, err := newDeployment(Options{Entries: 2, Servers: 1, Slot: 23, Binary: script, Dir: dir})
+	is.NoErr(err)
+	defer d.Close()
+	first, second := d.Entries[0], d.Entries[1]
+	older, newer := []byte("older"), []byte("newer")
+	d.Store.Put(d.RecordKey(first), older)
+	d.Store.Put(d.RecordKey(second), older)
+	copied := d.Store.Copy()
+	lost := map[*local.Process][]byte{first: newer, second: older}
+	is.NoErr(first.Start())
+	is.NoErr(second.Start())
+	restoredAt := time.Now()
+	check := func() string {
+		d.checkRecords(context.Background(), copied, lost, restoredAt, restoredAt)
+		return d.takeViolations()
+	}
+	is.Equal(check(), processesListed+", "+processesListed) // They have no lease.
+	d.Store.PutLeased(d.RecordKey(first), older, 1)
+	d.Store.PutLeased(d.RecordKey(second), older, 2)
+	is.Equal(check(), processesListed) // The newer record of the first was lost.
+	d.Store.PutLeased(d.RecordKey(first), newer, 1)
+	is.Equal(check(), "")
+	d.Store.PutLeased(d.RecordKey(second), older, 1)
+	is.Equal(check(), processesListed) // They have the same lease.
+	first.Kill()
+	is.Equal(check(), "")
+}
+
 // startServer starts the backend server of the first agent. If agent isn't nil, it takes the place of the agent's HTTP
 // server.
 func startServer(t *testing.T, d *deployment, agent http.Handler) *fakes.Server {
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -1,7 +1,10 @@
 package soak
 
 import (
+	"bytes"
+	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/bergamotrun/bergamotrun/internal/local"
@@ -19,6 +22,8 @@
 	// how many of them may do so for longer.
 	maxStrayTime    = 2 * time.Second
 	maxStrayPackets = 2
+	// maxListingTime is how long after the store's return a process may be missing in the directory.
+	maxListingTime = 2 * time.Second
 	// slotsPerServer is the number of requests that a backend server runs at a time, serviceTime the duration of each.
 	slotsPerServer = 4
 	serviceTime    = 10 * time.Millisecond
@@ -31,6 +36,10 @@
 	*local.Deployment
 	opts  Options
 	check *checker
+
+	mu sync.Mutex
+	// revokedAt is when the processes' keys were last removed from the store.
+	revokedAt time.Time
 }
 
 func newDeployment(opts Options) (*deployment, error) {
@@ -150,3 +159,55 @@
 	}
 	return true
 }
+
+// records returns the processes' records in the store.
+func (d *deployment) records() map[*local.Process][]byte {
+	records := make(map[*local.Process][]byte)
+	for _, p := range d.Processes() {
+		records[p] = d.Store.Value(d.RecordKey(p))
+	}
+	return records
+}
+
+// checkRecords checks maxListingTime after the store's return to the copy c that each process has its own record in the store, not an
+// older one that replaced a record in lost, under a lease that is only its own. Processes that were disturbed after markedAt, or
+// stopped, are left out.
+func (d *deployment) checkRecords(ctx context.Context, c *fakes.Copy, lost map[*local.Process][]byte, restoredAt, markedAt time.Time) {
+	sleep(ctx, time.Until(restoredAt.Add(maxListingTime)))
+	now := time.Now()
+	if ctx.Err() != nil || d.revokedSince(restoredAt) {
+		return
+	}
+	holders := make(map[uint64]string)
+	for _, p := range d.Processes() {
+		if !p.Running(restoredAt) || !p.Undisturbed(now, now.Sub(markedAt)-time.Millisecond) {
+			continue
+		}
+		key := d.RecordKey(p)
+		lease, record, copied := d.Store.LeaseOf(key), d.Store.Value(key), c.Value(key)
+		other, shared := holders[lease]
+		switch {
+		case lease == 0:
+			d.check.recordViolation(processesListed, "%s is missing %s after the store's return", key, now.Sub(restoredAt))
+		case !bytes.Equal(copied, lost[p]) && bytes.Equal(record, copied):
+			d.check.recordViolation(processesListed, "%s is that of an earlier start %s after the store's return", key, now.Sub(restoredAt))
+		case shared:
+			d.check.recordViolation(processesListed, "%s and %s have the same lease %d", key, other, lease)
+		}
+		holders[lease] = key
+	}
+}
+
+// revokeKeys removes all keys of the processes from the store.
+func (d *deployment) revokeKeys() {
+	d.mu.Lock()
+	d.revokedAt = time.Now()
+	d.mu.Unlock()
+	d.Store.DeletePrefix("bergamotrun/")
+}
+
+func (d *deployment) revokedSince(t time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revokedAt.After(t)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -44,7 +45,8 @@
 		{"store slow", storeFault(fakes.Faults{Delay: 240 * time.Millisecond})},
 		{"store loses answers", storeFault(fakes.Faults{DropResponses: 30})},
 		{"store forgets", compactStoreHistory},
-		{"store revokes", func(_ context.Context, d *deployment, _ *rand.Rand) { d.Store.DeletePrefix("bergamotrun/") }},
+		{"store revokes", func(_ context.Context, d *deployment, _ *rand.Rand) { d.revokeKeys() }},
+		{"store restored", restoreStore},
 		{"link slow", linkFault(local.Link{Delay: 100 * time.Millisecond})},
 		{"link silent", linkFault(local.Link{DropUp: true, DropDown: true})},
 		{"link one way", linkFault(local.Link{DropDown: true})},
@@ -153,15 +155,11 @@
 // storeFault returns a function that injects faults into the store for a while. All processes count as disturbed.
 func storeFault(faults fakes.Faults) func(context.Context, *deployment, *rand.Rand) {
 	return func(ctx context.Context, d *deployment, r *rand.Rand) {
-		for _, p := range d.Processes() {
-			p.MarkDisturbed()
-		}
+		d.markAllDisturbed()
 		d.Store.Inject(faults)
 		waitRandom(ctx, r, time.Second, 6*time.Second)
 		d.Store.Inject(fakes.Faults{})
-		for _, p := range d.Processes() {
-			p.MarkDisturbed()
-		}
+		d.markAllDisturbed()
 	}
 }
 
@@ -176,6 +174,45 @@
 	d.Store.Inject(fakes.Faults{})
 }
 
+const (
+	// maxCopyAge is the largest age of the copy from which the store returns, minCopyAge the smallest.
+	minCopyAge, maxCopyAge = 500 * time.Millisecond, 6 * time.Second
+	// minOutage and maxOutage bound how long the store is away before it returns.
+	minOutage, maxOutage = 100 * time.Millisecond, 2 * time.Second
+	// maxOperatorDelay is how long after the store's return the operator writes the newest configuration again.
+	maxOperatorDelay = time.Second
+)
+
+// restoreStore makes the store unavailable for a while, and then return from an older copy: its changes and leases since are gone,
+// and revisions and lease IDs are assigned again. Between the copy and the outage the routes change and processes restart, which write
+// to the store. All processes count as disturbed. Afterwards each process must be listed in the directory again.
+func restoreStore(ctx context.Context, d *deployment, r *rand.Rand) {
+	c := d.Store.Copy()
+	restart := []func(context.Context, *rand.Rand, []*local.Process){d.killProcesses, d.rollProcesses}[r.IntN(2)]
+	restart(ctx, r, randomSubset(r, d.Processes()))
+	for range r.IntN(3) {
+		d.changeRoutes(r)
+	}
+	waitRandom(ctx, r, minCopyAge, maxCopyAge)
+	d.markAllDisturbed()
+	lost := d.records()
+	d.Store.Inject(fakes.Faults{RejectStatus: http.StatusServiceUnavailable})
+	waitRandom(ctx, r, minOutage, maxOutage)
+	d.Store.Inject(fakes.Faults{})
+	restoredAt := time.Now()
+	if err := d.RestoreStore(c, time.Duration(r.Int64N(int64(maxOperatorDelay)))); err != nil {
+		d.check.recordViolation(noUnexpectedExit, "%s", err)
+	}
+	d.markAllDisturbed()
+	d.checkRecords(ctx, c, lost, restoredAt, time.Now())
+}
+
+func (d *deployment) markAllDisturbed() {
+	for _, p := range d.Processes() {
+		p.MarkDisturbed()
+	}
+}
+
 // linkFault returns a function that injects faults into the links between some processes and the store for a while.
 func linkFault(link local.Link) func(context.Context, *deployment, *rand.Rand) {
 	return func(ctx context.Context, d *deployment, r *rand.Rand) {
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -38,6 +38,8 @@
 	{"agents-together", 21, "roll all agents,roll entries", 8 * time.Second,
 		"packets of open flows reached only other servers: lists of flows lacked some, and probes waited for free slots; seeds 21, 31, " +
 			"32 and 34 reproduced it with 12 servers of each service, 5 entries and 24 clients in 24 s"},
+	{"restored", 4, "store restored,configurations,kill processes", 8 * time.Second,
+		"after the store's return from an older copy, processes that had started since the copy were listed by their predecessors' records"},
 }
 
 // TestSoak fails if a run of the soak finds a violation.
