platform: a revision identifies a state of the store only within its era

Callers could have seen a change that was confirmed and never in force: the decoded configuration was cached by the revision of its item, and watches continued from a revision. After the store's return from an older copy it assigns revisions again, so that the cache returned the configuration of before the return for a newer one (version 4 for 5), and a watch that continued above the new history's changes never heard of them; the store answers 410 only if it doesn't have the revision.

Class: something kept of the store outlives the history that it belongs to. ConfigSource keeps the position of its watch itself.

--- a/cmd/opaque_test.go
+++ b/cmd/opaque_test.go
@@ -72,12 +72,12 @@
 // emptySource is a memb.Source whose configuration has no routes.
 type emptySource struct{}
 
-func (emptySource) Read(context.Context) (*route.Table, uint64, error) {
-	return new(route.Table), 1, nil
+func (emptySource) Read(context.Context) (*route.Table, error) {
+	return new(route.Table), nil
 }
-func (emptySource) Watch(ctx context.Context, after uint64) (*route.Table, uint64, error) {
+func (emptySource) Watch(ctx context.Context) (*route.Table, error) {
 	<-ctx.Done()
-	return nil, after, ctx.Err()
+	return nil, ctx.Err()
 }
 
 // emptyDirectory is a memb.Directory that lists no process, and counts deregistrations.
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -55,11 +55,11 @@
 
 // Source reads the configuration from the store.
 type Source interface {
-	// Read returns the newest configuration and the revision of the store after which Watch continues.
-	Read(ctx context.Context) (*route.Table, uint64, error)
-	// Watch waits for a configuration newer than revision after, and returns it with the revision to continue after. The
-	// table is nil if none came; the revision is 0 if Read must be called before the next Watch.
-	Watch(ctx context.Context, after uint64) (*route.Table, uint64, error)
+	// Read returns the newest configuration.
+	Read(ctx context.Context) (*route.Table, error)
+	// Watch waits for a newer configuration than the one that it returned last, and returns it; the table is nil if none came.
+	// The first call, and one after an error, returns the newest configuration at once.
+	Watch(ctx context.Context) (*route.Table, error)
 }
 
 // Directory is the registry of the deployment's processes in the store.
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -80,7 +80,7 @@
 			return
 		}
 		started := time.Now()
-		table, _, err := n.opts.Source.Read(ctx)
+		table, err := n.opts.Source.Read(ctx)
 		if err == nil {
 			n.adopt(table, started, "store")
 		}
@@ -104,40 +104,21 @@
 
 // watchConfig watches the configuration in the store while this process is a watcher.
 func (n *Node) watchConfig(ctx context.Context) error {
-	revision := uint64(0)
 	return timer.Every(ctx, watchRetryInterval, func() {
 		for ctx.Err() == nil && n.isWatcher() {
-			next, err := n.watchOnce(ctx, revision)
-			revision = next
+			started := time.Now()
+			table, err := n.opts.Source.Watch(ctx)
 			if err != nil {
 				n.opts.Log.Debug("configuration watch failed", zap.Error(err))
 				return
 			}
+			if table != nil {
+				n.adopt(table, started, "watch")
+			}
 		}
 	})
 }
 
-// watchOnce waits for one change after revision and returns the revision to continue after. At revision 0 it reads instead.
-func (n *Node) watchOnce(ctx context.Context, revision uint64) (uint64, error) {
-	started := time.Now()
-	if revision == 0 {
-		table, next, err := n.opts.Source.Read(ctx)
-		if err != nil {
-			return 0, err
-		}
-		n.adopt(table, started, "store")
-		return next, nil
-	}
-	table, next, err := n.opts.Source.Watch(ctx, revision)
-	if err != nil {
-		return 0, err
-	}
-	if table != nil {
-		n.adopt(table, started, "watch")
-	}
-	return next, nil
-}
-
 // isWatcher reports whether this process is one of the maxWatchers that come first in an order by hash, which all processes
 // compute alike without coordination.
 func (n *Node) isWatcher() bool {
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -25,10 +25,10 @@
 // fixedTable is a memb.Source whose configuration doesn't change.
 type fixedTable struct{ table *route.Table }
 
-func (s fixedTable) Read(context.Context) (*route.Table, uint64, error) { return s.table, 1, nil }
-func (fixedTable) Watch(ctx context.Context, after uint64) (*route.Table, uint64, error) {
+func (s fixedTable) Read(context.Context) (*route.Table, error) { return s.table, nil }
+func (fixedTable) Watch(ctx context.Context) (*route.Table, error) {
 	<-ctx.Done()
-	return nil, after, ctx.Err()
+	return nil, ctx.Err()
 }
 
 // fixedDirectory is a memb.Directory that lists the same processes at all times.
