platform, memb: leases, records and flow lists belong to the store's era, and are written again at once

Callers of other processes could have been harmed in four ways after the store's return from an older copy, when lease IDs are assigned again and the keys written since are gone:

- a process that stopped revoked the lease of another one, with that one's record and flow list;
- two processes renewed one lease;
- a lost record was missing, or replaced by that of an earlier start, until the next renewal or read of the directory (15 to 20 s);
- a lost flow list was never written again if the lease was older than the copy: its flows counted as saved.

Class: as with revisions, something kept of the store outlives its history.

Heartbeats are two bytes longer (71 and 107 B, BenchmarkSlopePulse).

--- a/internal/ctrl/ctrl_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -195,10 +195,10 @@
 		return float64(len(out))
 	}
 	for b.Loop() {
-		_ = size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second})
+		_ = size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2})
 	}
-	b.ReportMetric(size(KindState, State{Record: record, Server: load, ConfigVersion: 70, ConfigAge: time.Second}), "B/state")
-	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second}), "B/pulse")
+	b.ReportMetric(size(KindState, State{Record: record, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2}), "B/state")
+	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2}), "B/pulse")
 	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation}), "B/alive")
 }
 
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -31,18 +31,21 @@
 	ConfigAge time.Duration `cbor:"4,keyasint,omitempty"`
 	// RequestPeers requests the records of other processes from the receiver. A State with it is called a hello.
 	RequestPeers bool `cbor:"5,keyasint,omitempty"`
+	// StoreEra is the store's era as far as the sender knows, or 0. It rises when the store has lost its latest changes.
+	StoreEra uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // CompactState is a heartbeat to a process that already has the sender's record. For the record of
-// BenchmarkSlopePulse it takes 29 bytes, or 69 with the server's load and the configuration version, and a State 105.
+// BenchmarkSlopePulse it takes 29 bytes, or 71 with the server's load, the configuration version and the era, and a State 107.
 type CompactState struct {
 	// Packets and Incarnation identify the sender's record.
 	Packets     netip.AddrPort `cbor:"1,keyasint"`
 	Incarnation uint64         `cbor:"2,keyasint"`
-	// Server, ConfigVersion and ConfigAge are as in State. Without them the message only shows that the sender is alive.
+	// Server, ConfigVersion, ConfigAge and StoreEra are as in State. Without them the message only shows that the sender is alive.
 	Server        *ServerLoad   `cbor:"3,keyasint,omitempty"`
 	ConfigVersion uint64        `cbor:"4,keyasint,omitempty"`
 	ConfigAge     time.Duration `cbor:"5,keyasint,omitempty"`
+	StoreEra      uint64        `cbor:"6,keyasint,omitempty"`
 }
 
 // ServerLoad is the load of a backend server as measured by its agent.
--- a/internal/memb/heartbeat.go
+++ b/internal/memb/heartbeat.go
@@ -61,6 +61,7 @@
 	compact := ctrl.CompactState{
 		Packets: round.state.Record.Packets, Incarnation: round.state.Record.Incarnation,
 		Server: round.state.Server, ConfigVersion: round.state.ConfigVersion, ConfigAge: round.state.ConfigAge,
+		StoreEra: round.state.StoreEra,
 	}
 	minimal := ctrl.CompactState{Packets: compact.Packets, Incarnation: compact.Incarnation}
 	for _, err := range []error{
@@ -92,7 +93,7 @@
 
 // state returns the node's state without the load of its backend server. The caller holds the lock.
 func (n *Node) state(now time.Time) ctrl.State {
-	state := ctrl.State{Record: n.self}
+	state := ctrl.State{Record: n.self, StoreEra: n.opts.Directory.Era()}
 	if n.table != nil {
 		state.ConfigVersion, state.ConfigAge = n.table.Version, n.freshness.Age(now)
 	}
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,15 +25,21 @@
 	records         []view.Record
 	registrations   int
 	deregistrations int
+	// era is the store's era, registeredIn that of the last registration.
+	era          atomic.Uint64
+	registeredIn uint64
 }
 
 func (d *memoryDirectory) Register(_ context.Context, r view.Record) error {
 	d.registrations++
+	d.registeredIn = d.era.Load()
 	d.records = append(d.records, r)
 	return nil
 }
 func (*memoryDirectory) KeepAlive(context.Context) error                     { return nil }
 func (*memoryDirectory) KeepAliveInterval() time.Duration                    { return time.Minute }
+func (d *memoryDirectory) Current() bool                                     { return d.era.Load() == d.registeredIn }
+func (d *memoryDirectory) Era() uint64                                       { return d.era.Load() }
 func (d *memoryDirectory) List(context.Context, bool) ([]view.Record, error) { return d.records, nil }
 func (d *memoryDirectory) Deregister(context.Context) error {
 	d.deregistrations++
@@ -139,6 +146,50 @@
 	is.Equal(d.registrations, 2)
 }
 
+// Guards against a record that is missing in the directory for up to 20 s after the store's return from an older copy: until the next
+// renewal of the lease, or read of the directory.
+func TestLostRecordIsRegisteredAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	d := new(memoryDirectory)
+	n := newNode(t, d)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*directoryCheckInterval)
+	defer cancel()
+	time.AfterFunc(2*directoryCheckInterval, func() { d.era.Store(1) })
+	_ = n.maintainRegistration(ctx) // Ends with ctx.
+	is.Equal(d.registrations, 2)
+}
+
+// Guards against a process that doesn't notice for seconds that the store has lost changes, since it has no reason to call it.
+func TestEraIsLearnedFromHeartbeats(t *testing.T) {
+	is := is.New(t)
+	d := new(memoryDirectory)
+	n := newNode(t, d)
+	requested := func() bool {
+		select {
+		case <-n.readRequested:
+			return true
+		default:
+			return false
+		}
+	}
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk")})
+	is.True(!requested())
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), StoreEra: 1})
+	is.True(requested())
+	n.onCompactState(otherAddr, ctrl.CompactState{Packets: otherAddr, Incarnation: 1, ConfigVersion: 7, StoreEra: 1})
+	is.True(!requested()) // The store may be out of reach; its reads must not follow each heartbeat.
+	n.mu.Lock()
+	n.eraChecked = time.Now().Add(-2 * eraCheckInterval)
+	n.mu.Unlock()
+	n.onCompactState(otherAddr, ctrl.CompactState{Packets: otherAddr, Incarnation: 1, ConfigVersion: 7, StoreEra: 1})
+	is.True(requested())
+	d.era.Store(1)
+	n.eraChecked = time.Time{}
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), StoreEra: 1})
+	is.True(!requested())
+	is.Equal(n.state(time.Now()).StoreEra, uint64(1))
+}
+
 // A process never replaces its configuration by an older one, such as that of a late response of the store.
 func TestConfigurationDoesNotRegress(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -41,6 +41,8 @@
 	// pauseThreshold is the gap between two ticks above which this process itself counts as paused.
 	pauseThreshold = 700 * time.Millisecond
 	tickInterval   = 50 * time.Millisecond
+	// eraCheckInterval is the minimum time between two reads of the store by which this process learns its era.
+	eraCheckInterval = 600 * time.Millisecond
 	// stopAnnouncementRepeats is how often the announcement of a stop is repeated, once a tick, while the process still
 	// serves. After that the process's other heartbeats continue at their interval.
 	stopAnnouncementRepeats = 4
@@ -70,6 +72,10 @@
 	KeepAlive(ctx context.Context) error
 	// KeepAliveInterval is how often KeepAlive must be called.
 	KeepAliveInterval() time.Duration
+	// Current reports whether the record is in the store, as far as this process knows. If not, Register must be called.
+	Current() bool
+	// Era is the store's era, as far as this process knows; 0 if unknown. It rises when the store has lost its latest changes.
+	Era() uint64
 	// List returns the records of all registered processes. If stale is set it may omit the changes of the last seconds,
 	// which costs the store less.
 	List(ctx context.Context, stale bool) ([]view.Record, error)
@@ -119,6 +125,8 @@
 	fetching  bool
 	lastTick  time.Time
 	startedAt time.Time
+	// eraChecked is when this process last read the store since others know a higher era.
+	eraChecked time.Time
 	// suspicions holds the opinions of other entries on agents that are silent here.
 	suspicions *alive.Tracker
 	// directoryRead is when the directory was read last.
@@ -350,6 +358,7 @@
 	fetch := newer && !n.fetching
 	n.fetching = n.fetching || fetch
 	record, _ := n.view.Get(state.Record.Packets)
+	n.checkEra(state.StoreEra, now)
 	n.mu.Unlock()
 	if fetch {
 		go n.fetch(from, state.ConfigVersion)
@@ -362,6 +371,15 @@
 	}
 }
 
+// checkEra requests a read of the store, whose response has its era, if another process knows a higher era than this one. The caller
+// holds the lock.
+func (n *Node) checkEra(era uint64, now time.Time) {
+	if era > n.opts.Directory.Era() && now.Sub(n.eraChecked) > eraCheckInterval {
+		n.eraChecked = now
+		n.RefreshConfig()
+	}
+}
+
 // onCompactState handles a heartbeat without the record. It is ignored unless the record of that incarnation is known;
 // one of the sender's next heartbeats contains the record.
 func (n *Node) onCompactState(from netip.AddrPort, compact ctrl.CompactState) {
@@ -375,7 +393,9 @@
 	}
 	n.mu.Unlock()
 	if known && compact.ConfigVersion > 0 {
-		n.onState(from, ctrl.State{Record: r, Server: compact.Server, ConfigVersion: compact.ConfigVersion, ConfigAge: compact.ConfigAge})
+		n.onState(from, ctrl.State{
+			Record: r, Server: compact.Server, ConfigVersion: compact.ConfigVersion, ConfigAge: compact.ConfigAge, StoreEra: compact.StoreEra,
+		})
 	}
 }
 
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -206,13 +206,15 @@
 	return fallback
 }
 
-// maintainRegistration keeps the process registered in the directory, and reads the directory for other processes.
+// maintainRegistration keeps the process registered in the directory, and reads the directory for other processes. If the store has
+// lost the record, it registers again at once.
 func (n *Node) maintainRegistration(ctx context.Context) error {
 	var lastAttempt, lastRead time.Time
 	registered, failing := false, false
 	n.sendHello()
 	err := timer.Every(ctx, directoryCheckInterval, func() {
 		now := time.Now()
+		registered = registered && n.opts.Directory.Current()
 		if registered && now.Sub(lastAttempt) < n.opts.Directory.KeepAliveInterval() && now.Sub(lastRead) < directoryReadInterval && !failing {
 			return
 		}
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -37,6 +37,8 @@
 func (*fixedDirectory) Register(context.Context, view.Record) error         { return nil }
 func (*fixedDirectory) KeepAlive(context.Context) error                     { return nil }
 func (*fixedDirectory) KeepAliveInterval() time.Duration                    { return time.Minute }
+func (*fixedDirectory) Current() bool                                       { return true }
+func (*fixedDirectory) Era() uint64                                         { return 0 }
 func (d *fixedDirectory) List(context.Context, bool) ([]view.Record, error) { return d.records, nil }
 func (*fixedDirectory) Deregister(context.Context) error                    { return nil }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/platform/fakes"
 )
 
@@ -204,21 +203,20 @@
 	d.Store.Put(d.RecordKey(first), older)
 	d.Store.Put(d.RecordKey(second), older)
 	copied := d.Store.Copy()
-	lost := map[*local.Process][]byte{first: newer, second: older}
 	is.NoErr(first.Start())
 	is.NoErr(second.Start())
 	restoredAt := time.Now()
 	check := func() string {
-		d.checkRecords(context.Background(), copied, lost, restoredAt, restoredAt)
+		d.checkRecords(context.Background(), copied, restoredAt, restoredAt)
 		return d.takeViolations()
 	}
 	is.Equal(check(), processesListed+", "+processesListed) // They have no lease.
-	d.Store.PutLeased(d.RecordKey(first), older, 1)
-	d.Store.PutLeased(d.RecordKey(second), older, 2)
-	is.Equal(check(), processesListed) // The newer record of the first was lost.
 	d.Store.PutLeased(d.RecordKey(first), newer, 1)
+	d.Store.PutLeased(d.RecordKey(second), older, 2)
+	is.Equal(check(), processesListed) // The second one's record is as in the copy, which was taken before it started.
+	d.Store.PutLeased(d.RecordKey(second), newer, 2)
 	is.Equal(check(), "")
-	d.Store.PutLeased(d.RecordKey(second), older, 1)
+	d.Store.PutLeased(d.RecordKey(second), newer, 1)
 	is.Equal(check(), processesListed) // They have the same lease.
 	first.Kill()
 	is.Equal(check(), "")
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -38,8 +38,8 @@
 	check *checker
 
 	mu sync.Mutex
-	// revokedAt is when the processes' keys were last removed from the store.
-	revokedAt time.Time
+	// storeDisturbed is when a fault of the store last began or ended.
+	storeDisturbed time.Time
 }
 
 func newDeployment(opts Options) (*deployment, error) {
@@ -160,22 +160,13 @@
 	return true
 }
 
-// records returns the processes' records in the store.
-func (d *deployment) records() map[*local.Process][]byte {
-	records := make(map[*local.Process][]byte)
-	for _, p := range d.Processes() {
-		records[p] = d.Store.Value(d.RecordKey(p))
-	}
-	return records
-}
-
-// checkRecords checks maxListingTime after the store's return to the copy c that each process has its own record in the store, not an
-// older one that replaced a record in lost, under a lease that is only its own. Processes that were disturbed after markedAt, or
-// stopped, are left out.
-func (d *deployment) checkRecords(ctx context.Context, c *fakes.Copy, lost map[*local.Process][]byte, restoredAt, markedAt time.Time) {
+// checkRecords checks maxListingTime after the store's return to the copy c that each process has its own record in the store, not that
+// of an earlier start, under a lease that is only its own. Processes that were disturbed after markedAt, or stopped, are left out, and
+// so are all if another fault of the store began or ended meanwhile.
+func (d *deployment) checkRecords(ctx context.Context, c *fakes.Copy, restoredAt, markedAt time.Time) {
 	sleep(ctx, time.Until(restoredAt.Add(maxListingTime)))
 	now := time.Now()
-	if ctx.Err() != nil || d.revokedSince(restoredAt) {
+	if ctx.Err() != nil || d.storeDisturbedSince(restoredAt) {
 		return
 	}
 	holders := make(map[uint64]string)
@@ -189,7 +180,7 @@
 		switch {
 		case lease == 0:
 			d.check.recordViolation(processesListed, "%s is missing %s after the store's return", key, now.Sub(restoredAt))
-		case !bytes.Equal(copied, lost[p]) && bytes.Equal(record, copied):
+		case !p.Running(c.TakenAt()) && bytes.Equal(record, copied):
 			d.check.recordViolation(processesListed, "%s is that of an earlier start %s after the store's return", key, now.Sub(restoredAt))
 		case shared:
 			d.check.recordViolation(processesListed, "%s and %s have the same lease %d", key, other, lease)
@@ -200,14 +191,25 @@
 
 // revokeKeys removes all keys of the processes from the store.
 func (d *deployment) revokeKeys() {
-	d.mu.Lock()
-	d.revokedAt = time.Now()
-	d.mu.Unlock()
+	d.markStoreDisturbed()
 	d.Store.DeletePrefix("bergamotrun/")
 }
 
-func (d *deployment) revokedSince(t time.Time) bool {
+// injectStoreFaults replaces the faults injected into the store.
+func (d *deployment) injectStoreFaults(faults fakes.Faults) {
+	d.markStoreDisturbed()
+	d.Store.Inject(faults)
+}
+
+func (d *deployment) markStoreDisturbed() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.storeDisturbed = time.Now()
+}
+
+// storeDisturbedSince reports whether a fault of the store has begun or ended after t.
+func (d *deployment) storeDisturbedSince(t time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.revokedAt.After(t)
+	return d.storeDisturbed.After(t)
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -156,9 +156,9 @@
 func storeFault(faults fakes.Faults) func(context.Context, *deployment, *rand.Rand) {
 	return func(ctx context.Context, d *deployment, r *rand.Rand) {
 		d.markAllDisturbed()
-		d.Store.Inject(faults)
+		d.injectStoreFaults(faults)
 		waitRandom(ctx, r, time.Second, 6*time.Second)
-		d.Store.Inject(fakes.Faults{})
+		d.injectStoreFaults(fakes.Faults{})
 		d.markAllDisturbed()
 	}
 }
@@ -166,12 +166,12 @@
 // compactStoreHistory withholds events from watches while the routes change, and then compacts the store's history, so that
 // the watches can't catch up.
 func compactStoreHistory(ctx context.Context, d *deployment, r *rand.Rand) {
-	d.Store.Inject(fakes.Faults{SilenceWatches: true})
+	d.injectStoreFaults(fakes.Faults{SilenceWatches: true})
 	waitRandom(ctx, r, 500*time.Millisecond, time.Second)
 	d.changeRoutes(r)
 	waitRandom(ctx, r, 500*time.Millisecond, time.Second)
 	d.Store.Compact()
-	d.Store.Inject(fakes.Faults{})
+	d.injectStoreFaults(fakes.Faults{})
 }
 
 const (
@@ -195,16 +195,15 @@
 	}
 	waitRandom(ctx, r, minCopyAge, maxCopyAge)
 	d.markAllDisturbed()
-	lost := d.records()
-	d.Store.Inject(fakes.Faults{RejectStatus: http.StatusServiceUnavailable})
+	d.injectStoreFaults(fakes.Faults{RejectStatus: http.StatusServiceUnavailable})
 	waitRandom(ctx, r, minOutage, maxOutage)
-	d.Store.Inject(fakes.Faults{})
+	d.injectStoreFaults(fakes.Faults{})
 	restoredAt := time.Now()
 	if err := d.RestoreStore(c, time.Duration(r.Int64N(int64(maxOperatorDelay)))); err != nil {
 		d.check.recordViolation(noUnexpectedExit, "%s", err)
 	}
 	d.markAllDisturbed()
-	d.checkRecords(ctx, c, lost, restoredAt, time.Now())
+	d.checkRecords(ctx, c, restoredAt, time.Now())
 }
 
 func (d *deployment) markAllDisturbed() {
