fresh, memb: a read confirms a version as the newest only once the store's era is known for 2 s

Callers could have had new flows to an added route refused: until the operator has written again what the store lost, a read returns an older configuration, and a process without a newer one (one that has just started, or that had missed the change) took it for the newest known at that moment, and reset flows to routes that it lacks. Versions alone can't show it: the older configuration is the newest that the store has.

RecordRead returns when the version that was read was known to be the newest: not while the era has been known for less than 2 s, the time in which lost entries are to be back. For a process that starts that is its first two seconds, in which it doesn't refuse unknown routes unless a process that has known the era for longer confirms its version by a heartbeat. Such packets are dropped meanwhile, and retransmitted. Reads that confirm nothing are spread like others.

Evidence: TestConfigurationReadAtStartIsNotConfirmed and TestReadConfirmsOnlyOnceStoreHasSettled fail with settleTime below 0, which is the rule before.

--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -6,6 +6,10 @@
 // notifies the others, so that even with many processes the store gets only one or two reads
 // in each readFraction of the maximum age.
 //
+// The store may return from an older copy, which its era tells. The operator then writes again what was lost, but until then a read
+// returns an older configuration. A read doesn't show which version is the newest until settleTime after the process first saw the
+// era, which is its start if it doesn't know an earlier one.
+//
 // The package has no I/O and doesn't read the clock: times and random numbers are arguments.
 package fresh
 
@@ -21,6 +25,8 @@
 	notifiedFraction = 0.5
 	// retryFraction is the fraction of the maximum age after which a failed read is retried.
 	retryFraction = 0.2
+	// settleTime is how long after its return from an older copy the store may hold an older configuration than was accepted.
+	settleTime = 2 * time.Second
 )
 
 // AgeTracker tracks the age of the configuration. It isn't safe for concurrent use.
@@ -29,7 +35,11 @@
 	version     uint64
 	confirmedAt time.Time
 	lastAttempt time.Time
-	jitter      float64
+	// lastRead is when the last read that succeeded began, era the store's era in it, and eraSeen when that era was first seen.
+	lastRead time.Time
+	era      uint64
+	eraSeen  time.Time
+	jitter   float64
 }
 
 // New returns a tracker with no confirmed version for configurations that may be up to maxAge old.
@@ -43,16 +53,37 @@
 	t.version, t.confirmedAt, t.jitter = version, at, random
 }
 
+// RecordRead records a read of the store that began at started and ended at now, in an era of the store; random is a random number
+// between 0 and 1. It returns when the version that was read is known to have been the newest one: at started, or the zero time if the
+// store may hold an older one.
+func (t *AgeTracker) RecordRead(era uint64, started, now time.Time, random float64) (confirmed time.Time) {
+	if t.eraSeen.IsZero() || era != t.era {
+		t.era, t.eraSeen = era, now
+	}
+	if started.After(t.lastRead) {
+		t.lastRead, t.jitter = started, random
+	}
+	if started.Sub(t.eraSeen) < settleTime {
+		return time.Time{}
+	}
+	return started
+}
+
 // ShouldRead reports whether the process should read the configuration now, and if so records the attempt. notified is true
 // if other processes normally notify this one; it then waits longer, so that they read first.
 func (t *AgeTracker) ShouldRead(now time.Time, notified bool) bool {
 	if now.Sub(t.lastAttempt) < t.fractionOfMaxAge(retryFraction) {
 		return false
 	}
-	if notified && !t.confirmedAt.IsZero() && now.Sub(t.confirmedAt) < t.fractionOfMaxAge(notifiedFraction) {
-		return false
+	known := t.confirmedAt
+	if t.lastRead.After(known) {
+		known = t.lastRead
+	}
+	wait := t.fractionOfMaxAge(readFraction) + time.Duration(t.jitter*float64(t.fractionOfMaxAge(spreadFraction)))
+	if notified {
+		wait = max(wait, t.fractionOfMaxAge(notifiedFraction))
 	}
-	if !t.confirmedAt.IsZero() && now.Sub(t.confirmedAt) < t.fractionOfMaxAge(readFraction)+time.Duration(t.jitter*float64(t.fractionOfMaxAge(spreadFraction))) {
+	if !known.IsZero() && now.Sub(known) < wait {
 		return false
 	}
 	t.lastAttempt = now
--- a/internal/fresh/fresh_test.go
+++ b/internal/fresh/fresh_test.go
@@ -68,6 +68,37 @@
 	is.True(oldest < maxAge/2)
 }
 
+// Guards against an older configuration that counts as the newest: the store has returned from an older copy, and the operator hasn't
+// written again yet. A process that has just started can't know when the store's era began.
+func TestReadConfirmsOnlyOnceStoreHasSettled(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	tracker := New(maxAge)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	read := func(era uint64, d time.Duration) bool {
+		return !tracker.RecordRead(era, at(d), at(d+10*time.Millisecond), 0).IsZero()
+	}
+	is.True(!read(1, 0))
+	is.True(!read(1, settleTime-time.Millisecond))
+	is.True(read(1, settleTime+10*time.Millisecond))
+	is.True(!read(2, 10*time.Second))
+	is.True(!read(2, 10*time.Second+settleTime))
+	is.True(read(2, 10*time.Second+settleTime+10*time.Millisecond))
+	tracker.Confirm(7, at(20*time.Second), 0) // Another process has known the era for longer.
+	is.Equal(tracker.Age(at(20*time.Second)), time.Duration(0))
+}
+
+// Guards against reads that follow each other without a pause while none confirms a version.
+func TestUnconfirmedReadsAreSpread(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tracker := New(maxAge)
+	is.True(tracker.ShouldRead(now, false))
+	is.True(tracker.RecordRead(1, now, now, 0.5).IsZero())
+	is.True(!tracker.ShouldRead(now.Add(maxAge*32/100), false)) // 0.25 plus half of 0.15.
+	is.True(tracker.ShouldRead(now.Add(maxAge*33/100), false))
+}
+
 // A process that others normally notify reads only if they don't.
 func TestNotifiedProcessDelaysReads(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -190,6 +190,20 @@
 	is.Equal(n.state(time.Now()).StoreEra, uint64(1))
 }
 
+// Guards against routes that are refused although they are in force: a process that starts after the store's return from an older
+// copy reads an older configuration, and took it for the newest.
+func TestConfigurationReadAtStartIsNotConfirmed(t *testing.T) {
+	is := is.New(t)
+	d := new(memoryDirectory)
+	d.era.Store(2)
+	n := newNode(t, d)
+	is.NoErr(n.readConfig("test", func() (*route.Table, error) { return route.NewTable(4, nil, 0), nil }))
+	is.Equal(n.ConfigVersion(), uint64(4))
+	is.True(n.ConfigAge() > time.Hour)
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), ConfigVersion: 4, ConfigAge: time.Second})
+	is.True(n.ConfigAge() < 2*time.Second) // A process that has known the era for longer confirms it.
+}
+
 // A process never replaces its configuration by an older one, such as that of a late response of the store.
 func TestConfigurationDoesNotRegress(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -79,11 +79,7 @@
 		if !due && !requested {
 			return
 		}
-		started := time.Now()
-		table, err := n.opts.Source.Read(ctx)
-		if err == nil {
-			n.adopt(table, started, "store")
-		}
+		err := n.readConfig("store", func() (*route.Table, error) { return n.opts.Source.Read(ctx) })
 		if (err != nil) != storeFailing {
 			storeFailing = err != nil
 			n.logStoreAvailability(storeFailing, err)
@@ -93,6 +89,21 @@
 	return timer.Every(ctx, readCheckInterval, read)
 }
 
+// readConfig reads the configuration by a function of Source, and puts it in force if it is newer. Whether the read confirms that the
+// version is the newest depends on how long the store's era is known. source is for the log.
+func (n *Node) readConfig(source string, read func() (*route.Table, error)) error {
+	started := time.Now()
+	table, err := read()
+	if err != nil || table == nil {
+		return err
+	}
+	n.mu.Lock()
+	confirmed := n.freshness.RecordRead(n.opts.Directory.Era(), started, time.Now(), rand.Float64())
+	n.mu.Unlock()
+	n.adopt(table, confirmed, source)
+	return nil
+}
+
 // logStoreAvailability logs that the store became unavailable with err, or available again if failing is false.
 func (n *Node) logStoreAvailability(failing bool, err error) {
 	if failing {
@@ -106,15 +117,10 @@
 func (n *Node) watchConfig(ctx context.Context) error {
 	return timer.Every(ctx, watchRetryInterval, func() {
 		for ctx.Err() == nil && n.isWatcher() {
-			started := time.Now()
-			table, err := n.opts.Source.Watch(ctx)
-			if err != nil {
+			if err := n.readConfig("watch", func() (*route.Table, error) { return n.opts.Source.Watch(ctx) }); err != nil {
 				n.opts.Log.Debug("configuration watch failed", zap.Error(err))
 				return
 			}
-			if table != nil {
-				n.adopt(table, started, "watch")
-			}
 		}
 	})
 }
