deliv: the final list of flows is always saved

Callers of an agent that is rolled around the store's return from an older copy could have lost open flows for seconds: if no flow was new since the last list that the store had acknowledged, the final list wasn't written, though the store may have returned to an older one meanwhile. The successor then doesn't know flows that the server holds.

Whether a flow is in the saved list was remembered beside the list, not asked of the store.

TestFinalListIsSavedThoughNoFlowIsNew failed before. The field changed of the event "final flow list" is now saved.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -159,7 +159,7 @@
 		if time.Since(savedAt) < minSaveInterval {
 			return
 		}
-		if list, changed := a.encodeFlowList(false); changed {
+		if list, save := a.encodeFlowList(false); save {
 			savedAt = time.Now()
 			if err := a.storeFlowList(ctx, list); err != nil {
 				a.opts.Log.Debug("can't save the list of flows", zap.Error(err))
@@ -175,12 +175,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
 	defer cancel()
 	started := time.Now()
-	list, changed := a.encodeFlowList(true)
+	list, save := a.encodeFlowList(true)
 	var err error
-	if changed {
+	if save {
 		err = a.storeFlowList(ctx, list)
 	}
-	a.opts.Log.Info("final flow list", zap.Bool("changed", changed), zap.Int("bytes", len(list)), zap.Duration("took", time.Since(started)), zap.Error(err))
+	a.opts.Log.Info("final flow list", zap.Bool("saved", save && err == nil), zap.Int("bytes", len(list)), zap.Duration("took", time.Since(started)), zap.Error(err))
 }
 
 // storeFlowList writes a list to the store. After a failure all flows count as unsaved again.
@@ -194,8 +194,8 @@
 	return nil
 }
 
-// encodeFlowList returns the encoded list of flows and whether it differs enough from the last one to be saved. The final
-// list includes flows younger than minSaveAge and is saved for any new flow.
+// encodeFlowList returns the encoded list of flows and whether it must be saved: a periodic one if it differs enough from the last one,
+// the final one always, since the store may have lost the last one. The final list includes flows younger than minSaveAge.
 func (a *Agent) encodeFlowList(final bool) ([]byte, bool) {
 	now := time.Now()
 	a.mu.Lock()
@@ -207,7 +207,7 @@
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
 	listed, unsaved := a.collectFlows(&s, final, now)
-	if unsaved == 0 || (!final && float64(unsaved) < minUnsavedFraction*float64(len(listed))) {
+	if !final && (unsaved == 0 || float64(unsaved) < minUnsavedFraction*float64(len(listed))) {
 		return nil, false
 	}
 	for _, f := range listed {
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -440,3 +440,19 @@
 	env.Equal(env.readKind(env.fallback), encap.Open)
 	env.Equal(env.read(env.client), nil) // No reset.
 }
+
+// Guards against open flows that the next process doesn't know: the store has returned to an older list since the last one was saved,
+// and no flow has opened since.
+func TestFinalListIsSavedThoughNoFlowIsNew(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(4, ack)
+	env.agent.flows.Each(func(_ flow.Key, f *flowState) { f.firstSeen = f.firstSeen.Add(-2 * minSaveAge) })
+	list, save := env.agent.encodeFlowList(false)
+	env.True(save)
+	env.NoErr(env.agent.storeFlowList(context.Background(), list))
+	env.store.list = nil
+	env.agent.SaveFlowList()
+	env.Equal(env.store.list, list)
+}
