platform, memb: a record of before the store's return is no proof that its process runs

Callers could have waited for up to 30 s for the reset of a lost flow: a copy from before a process left lists it again, and its lease runs on. An entry that starts afterwards, as after a kill of all processes, takes such an agent for a possible holder of each flow, and awaits it.

Processes that are running write theirs again within a second, so an entry expects processes with unconfirmed records only until 3 s after it first saw the era. It then reads the directory once more, and forgets those that are still unconfirmed and from which no heartbeat ever came, unless other entries hear them. Entries that know that a process is gone now say so when they are asked about its silence, or are told that it is up.

--- a/cmd/opaque_test.go
+++ b/cmd/opaque_test.go
@@ -83,12 +83,12 @@
 // emptyDirectory is a memb.Directory that lists no process, and counts deregistrations.
 type emptyDirectory struct{ deregistrations int }
 
-func (*emptyDirectory) Register(context.Context, view.Record) error       { return nil }
-func (*emptyDirectory) KeepAlive(context.Context) error                   { return nil }
-func (*emptyDirectory) KeepAliveInterval() time.Duration                  { return time.Minute }
-func (*emptyDirectory) Current() bool                                     { return true }
-func (*emptyDirectory) Era() uint64                                       { return 0 }
-func (*emptyDirectory) List(context.Context, bool) ([]view.Record, error) { return nil, nil }
+func (*emptyDirectory) Register(context.Context, view.Record) error        { return nil }
+func (*emptyDirectory) KeepAlive(context.Context) error                    { return nil }
+func (*emptyDirectory) KeepAliveInterval() time.Duration                   { return time.Minute }
+func (*emptyDirectory) Current() bool                                      { return true }
+func (*emptyDirectory) Era() uint64                                        { return 0 }
+func (*emptyDirectory) List(context.Context, bool) ([]view.Listing, error) { return nil, nil }
 func (d *emptyDirectory) Deregister(context.Context) error {
 	d.deregistrations++
 	return nil
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -22,7 +22,7 @@
 
 // memoryDirectory is a Directory in memory that counts registrations.
 type memoryDirectory struct {
-	records         []view.Record
+	records         []view.Listing
 	registrations   int
 	deregistrations int
 	// era is the store's era, registeredIn that of the last registration.
@@ -33,14 +33,14 @@
 func (d *memoryDirectory) Register(_ context.Context, r view.Record) error {
 	d.registrations++
 	d.registeredIn = d.era.Load()
-	d.records = append(d.records, r)
+	d.records = append(d.records, view.Listing{Record: r})
 	return nil
 }
-func (*memoryDirectory) KeepAlive(context.Context) error                     { return nil }
-func (*memoryDirectory) KeepAliveInterval() time.Duration                    { return time.Minute }
-func (d *memoryDirectory) Current() bool                                     { return d.era.Load() == d.registeredIn }
-func (d *memoryDirectory) Era() uint64                                       { return d.era.Load() }
-func (d *memoryDirectory) List(context.Context, bool) ([]view.Record, error) { return d.records, nil }
+func (*memoryDirectory) KeepAlive(context.Context) error                      { return nil }
+func (*memoryDirectory) KeepAliveInterval() time.Duration                     { return time.Minute }
+func (d *memoryDirectory) Current() bool                                      { return d.era.Load() == d.registeredIn }
+func (d *memoryDirectory) Era() uint64                                        { return d.era.Load() }
+func (d *memoryDirectory) List(context.Context, bool) ([]view.Listing, error) { return d.records, nil }
 func (d *memoryDirectory) Deregister(context.Context) error {
 	d.deregistrations++
 	return nil
@@ -190,6 +190,46 @@
 	is.Equal(n.state(time.Now()).StoreEra, uint64(1))
 }
 
+// Guards against searches for flows that wait for 30 s for an agent that had left before the store returned from an older copy, which
+// lists it again.
+func TestWithdrawnAgentIsNotAwaited(t *testing.T) {
+	is := is.New(t)
+	d := new(memoryDirectory)
+	d.era.Store(2)
+	n := newNode(t, d)
+	d.records = []view.Listing{{Record: agentRecord("desk"), Unconfirmed: true}}
+	holders := func() int { return len(n.PossibleHolders([]uint64{route.ServiceID("desk")})) }
+	is.NoErr(n.syncDirectory(context.Background(), false))
+	is.Equal(holders(), 1) // It may be running, and not have written its record again yet.
+	is.True(!n.rereadDue(time.Now()))
+	is.True(n.rereadDue(time.Now().Add(2 * relistTime)))
+	n.eraSeen = n.eraSeen.Add(-relistTime)
+	is.NoErr(n.syncDirectory(context.Background(), true))
+	is.Equal(holders(), 0)
+	is.True(!n.rereadDue(time.Now().Add(time.Hour)))
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk")}) // It was running after all, and can't reach the store.
+	n.mergeRecords([]view.Record{{Packets: otherAddr, Control: otherAddr, Role: view.Agent, Incarnation: 1, Epoch: 1, State: view.Up, Service: agentRecord("desk").Service}})
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk")})
+	is.NoErr(n.syncDirectory(context.Background(), true))
+	is.Equal(holders(), 1)
+}
+
+// Guards against an entry that awaits an agent that is listed though it has left, while other entries know that it has.
+func TestEntryLearnsThatSuspectIsGone(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	gone := agentRecord("desk")
+	gone.State, gone.Since = view.Gone, time.Now()
+	n.mergeRecords([]view.Record{gone})
+	before := counterValue(n, "messages_out")
+	n.onSilenceQuery(otherAddr, ctrl.SilenceQuery{Round: 1, Suspects: []netip.AddrPort{otherAddr, selfAddr}})
+	is.Equal(counterValue(n, "messages_out")-before, int64(2)) // The reply, and the record.
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Records: []view.Record{agentRecord("desk")}})
+	is.Equal(counterValue(n, "messages_out")-before, int64(3))
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Records: []view.Record{gone}})
+	is.Equal(counterValue(n, "messages_out")-before, int64(3))
+}
+
 // Guards against routes that are refused although they are in force: a process that starts after the store's return from an older
 // copy reads an older configuration, and took it for the newest.
 func TestConfigurationReadAtStartIsNotConfirmed(t *testing.T) {
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -78,7 +78,7 @@
 	Era() uint64
 	// List returns the records of all registered processes. If stale is set it may omit the changes of the last seconds,
 	// which costs the store less.
-	List(ctx context.Context, stale bool) ([]view.Record, error)
+	List(ctx context.Context, stale bool) ([]view.Listing, error)
 	// Deregister removes the record of this process.
 	Deregister(ctx context.Context) error
 }
@@ -129,8 +129,12 @@
 	eraChecked time.Time
 	// suspicions holds the opinions of other entries on agents that are silent here.
 	suspicions *alive.Tracker
-	// directoryRead is when the directory was read last.
+	// directoryRead is when the directory was read last, directoryEra the store's era then, and eraSeen when that era was first seen.
+	// rereadAt is when the directory must be read again since it had unconfirmed records; zero if it needn't.
 	directoryRead     time.Time
+	directoryEra      uint64
+	eraSeen           time.Time
+	rereadAt          time.Time
 	lastHeartbeatSent time.Time
 	// heartbeats counts the rounds of heartbeats sent; sentRecord is the node's record in the last round.
 	heartbeats int
@@ -296,16 +300,21 @@
 			n.opts.Log.Info("process is silent", zap.Stringer("peer", a), zap.Duration("for", now.Sub(p.lastHeartbeat)))
 		}
 		if n.isLost(p, isolated, now) && now.Sub(n.suspicions.ContradictedAt(a)) > lostTimeout {
-			r, ok := n.view.Get(a)
-			if ok && r.State == view.Up {
-				r.State, r.Since = view.Lost, now
-				n.view.Merge(r, now)
-			}
-			delete(n.peers, a)
+			n.forgetPeer(a, now)
 		}
 	}
 }
 
+// forgetPeer marks a process lost and expects no more heartbeats of it. The caller holds the lock.
+func (n *Node) forgetPeer(addr netip.AddrPort, now time.Time) {
+	r, ok := n.view.Get(addr)
+	if ok && r.State == view.Up {
+		r.State, r.Since = view.Lost, now
+		n.view.Merge(r, now)
+	}
+	delete(n.peers, addr)
+}
+
 // isLost reports whether no heartbeat came from a process for lostTimeout. An entry that receives heartbeats from few processes
 // is probably cut off from the others: if it forgot them, it would take the rest for the whole deployment. It therefore waits
 // until the directory has not listed the process for lostTimeout either. The caller holds the lock.
@@ -448,8 +457,33 @@
 	n.TriggerHeartbeat()
 }
 
-// onPeerRecords merges the records that another process sent.
-func (n *Node) onPeerRecords(_ netip.AddrPort, msg ctrl.PeerRecords) { n.mergeRecords(msg.Records) }
+// onPeerRecords merges the records that another process sent. It replies with those of processes that are gone and that the sender
+// takes for running.
+func (n *Node) onPeerRecords(from netip.AddrPort, msg ctrl.PeerRecords) {
+	var running []netip.AddrPort
+	for _, r := range msg.Records {
+		if r.State == view.Up {
+			running = append(running, r.Packets)
+		}
+	}
+	n.sendGone(from, running)
+	n.mergeRecords(msg.Records)
+}
+
+// sendGone sends a process the records of those of its peers that are gone.
+func (n *Node) sendGone(to netip.AddrPort, peers []netip.AddrPort) {
+	var gone []view.Record
+	n.mu.Lock()
+	for _, addr := range peers {
+		if r, ok := n.view.Get(addr); ok && r.State == view.Gone && len(gone) < ctrl.MaxPeerRecords {
+			gone = append(gone, r)
+		}
+	}
+	n.mu.Unlock()
+	if len(gone) > 0 {
+		n.sendRecords(to, gone)
+	}
+}
 
 // tracks reports whether this process keeps a record of another one: agents track entries only.
 func (n *Node) tracks(r view.Record) bool { return n.opts.Load == nil || r.Role == view.Entry }
--- a/internal/memb/suspicion.go
+++ b/internal/memb/suspicion.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// onSilenceQuery replies with this entry's opinions of the suspects.
+// onSilenceQuery replies with this entry's opinions of the suspects, and with the records of those that are gone.
 func (n *Node) onSilenceQuery(from netip.AddrPort, query ctrl.SilenceQuery) {
 	if n.opts.Load != nil || len(query.Suspects) > ctrl.MaxSuspects {
 		return
@@ -141,6 +141,7 @@
 	if err := ctrl.Send(n.opts.Link, from, ctrl.KindSilenceReply, reply); err != nil {
 		n.opts.Log.Debug("silence reply not sent", zap.Error(err))
 	}
+	n.sendGone(from, query.Suspects)
 }
 
 // opinion returns this entry's opinion of an agent. It can't confirm a silence if it receives few heartbeats at all, or if it
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -221,7 +221,8 @@
 	err := timer.Every(ctx, directoryCheckInterval, func() {
 		now := time.Now()
 		registered = registered && n.opts.Directory.Current()
-		if registered && now.Sub(lastAttempt) < n.opts.Directory.KeepAliveInterval() && now.Sub(lastRead) < directoryReadInterval && !failing {
+		if registered && now.Sub(lastAttempt) < n.opts.Directory.KeepAliveInterval() && now.Sub(lastRead) < directoryReadInterval &&
+			!n.rereadDue(now) && !failing {
 			return
 		}
 		if failing && now.Sub(lastAttempt) < directoryRetryInterval {
@@ -283,10 +284,11 @@
 			return err
 		}
 	}
-	records, err := n.opts.Directory.List(ctx, registered)
+	listings, err := n.opts.Directory.List(ctx, registered)
 	if err != nil {
 		return err
 	}
+	records := n.evaluateListings(listings, time.Now())
 	n.mergeRecords(records)
 	n.recordDirectoryRead(records, time.Now())
 	for _, r := range records {
@@ -306,6 +308,53 @@
 	return nil
 }
 
+// relistTime is how long after the store has lost changes the processes that are running have written their records again.
+const relistTime = 3 * time.Second
+
+// evaluateListings returns the records in the directory that are of processes to expect. Unconfirmed ones are, until relistTime after
+// this process first saw the store's era: the directory is then read again, and what is still unconfirmed, and not heard of, is taken
+// to have ended.
+func (n *Node) evaluateListings(listings []view.Listing, now time.Time) []view.Record {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if era := n.opts.Directory.Era(); n.eraSeen.IsZero() || era != n.directoryEra {
+		n.directoryEra, n.eraSeen = era, now
+	}
+	n.rereadAt = time.Time{}
+	relisted := now.Sub(n.eraSeen) >= relistTime
+	var records []view.Record
+	for _, l := range listings {
+		p := n.peers[l.Packets]
+		switch {
+		case l.Unconfirmed && relisted && (p == nil || !p.contacted):
+			n.dropUnconfirmed(l.Record, p, now)
+			continue
+		case l.Unconfirmed && !relisted:
+			n.rereadAt = n.eraSeen.Add(relistTime)
+		}
+		records = append(records, l.Record)
+	}
+	return records
+}
+
+// dropUnconfirmed forgets a process that is known only by an unconfirmed record, unless other entries hear it. The caller holds the
+// lock.
+func (n *Node) dropUnconfirmed(r view.Record, p *peer, now time.Time) {
+	if p == nil || now.Sub(n.suspicions.ContradictedAt(r.Packets)) <= lostTimeout {
+		return
+	}
+	n.opts.Log.Info("process is listed only by a record of before the store's loss", zap.Stringer("peer", r.Packets),
+		zap.Stringer("peer_role", r.Role), zap.Uint64("incarnation", r.Incarnation))
+	n.forgetPeer(r.Packets, now)
+}
+
+// rereadDue reports whether the directory must be read again since it had unconfirmed records.
+func (n *Node) rereadDue(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.rereadAt.IsZero() && now.After(n.rereadAt)
+}
+
 // recordDirectoryRead records which processes the directory listed at now.
 func (n *Node) recordDirectoryRead(records []view.Record, now time.Time) {
 	n.mu.Lock()
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -34,13 +34,20 @@
 // fixedDirectory is a memb.Directory that lists the same processes at all times.
 type fixedDirectory struct{ records []view.Record }
 
-func (*fixedDirectory) Register(context.Context, view.Record) error         { return nil }
-func (*fixedDirectory) KeepAlive(context.Context) error                     { return nil }
-func (*fixedDirectory) KeepAliveInterval() time.Duration                    { return time.Minute }
-func (*fixedDirectory) Current() bool                                       { return true }
-func (*fixedDirectory) Era() uint64                                         { return 0 }
-func (d *fixedDirectory) List(context.Context, bool) ([]view.Record, error) { return d.records, nil }
-func (*fixedDirectory) Deregister(context.Context) error                    { return nil }
+func (*fixedDirectory) Register(context.Context, view.Record) error { return nil }
+func (*fixedDirectory) KeepAlive(context.Context) error             { return nil }
+func (*fixedDirectory) KeepAliveInterval() time.Duration            { return time.Minute }
+func (*fixedDirectory) Current() bool                               { return true }
+func (*fixedDirectory) Era() uint64                                 { return 0 }
+func (*fixedDirectory) Deregister(context.Context) error            { return nil }
+
+func (d *fixedDirectory) List(context.Context, bool) ([]view.Listing, error) {
+	var listings []view.Listing
+	for _, r := range d.records {
+		listings = append(listings, view.Listing{Record: r})
+	}
+	return listings, nil
+}
 
 // deployment runs the membership of entries and of two agents whose heartbeats the test controls.
 type deployment struct {
--- a/internal/view/record.go
+++ b/internal/view/record.go
@@ -87,6 +87,14 @@
 	Since time.Time `cbor:"10,keyasint,omitempty"`
 }
 
+// Listing is a record in a directory of processes.
+type Listing struct {
+	Record
+	// Unconfirmed is set if the directory has lost its latest changes since the record was written. The process may have ended, or
+	// been replaced by another one, before that; one that is running writes its record again.
+	Unconfirmed bool
+}
+
 // incarnationBits is the number of random bits in an incarnation.
 const incarnationBits = 16
 
