--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -44,6 +44,10 @@
 		{"store silent", storeFault(fakes.Faults{Hang: true})},
 		{"store slow", storeFault(fakes.Faults{Delay: 240 * time.Millisecond})},
 		{"store loses answers", storeFault(fakes.Faults{DropResponses: 30})},
+		{"store delays writes", func(ctx context.Context, d *deployment, r *rand.Rand) {
+			storeFault(fakes.Faults{DelayWrites: 30})(ctx, d, r)
+			d.Store.ExecuteDelayed()
+		}},
 		{"store forgets", compactStoreHistory},
 		{"store revokes", func(_ context.Context, d *deployment, _ *rand.Rand) { d.revokeKeys() }},
 		{"store restored", restoreStore},
