memb: a configuration isn't confirmed by heartbeats from before a pause, and ages while the machine is suspended

Mishap of other operators: a process that had been paused acted on a permission that had run out. After a pause the heartbeats that were queued meanwhile were handled as if just sent, and confirmed the outdated configuration; and the clock of time.Since doesn't count a suspension of the machine, so that the age didn't grow at all. Callers of a route that was added meanwhile would have been refused.

Evidence: TestQueuedHeartbeatDoesNotConfirmConfiguration and TestConfigurationAgesWhileMachineIsSuspended fail without the two changes.

--- a/cmd/opaque_test.go
+++ b/cmd/opaque_test.go
@@ -121,7 +121,7 @@
 			Packets: netip.MustParseAddrPort(packets), Control: link.Addr(), Role: role, Domain: "a", Incarnation: 1, State: view.Up,
 		},
 		Link: link, Listener: ln, Client: ctrl.NewClient(tlsConfig, new(expvar.Map)), Source: emptySource{}, Directory: directory,
-		Seeds: seeds, MaxConfigAge: time.Second, Log: zap.NewNop(), Vars: new(expvar.Map),
+		Seeds: seeds, MaxConfigAge: time.Second, Suspended: func() time.Duration { return 0 }, Log: zap.NewNop(), Vars: new(expvar.Map),
 	}
 	if role == view.Agent {
 		opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{} }
--- a/internal/memb/heartbeat.go
+++ b/internal/memb/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -21,8 +20,8 @@
 // buildRound prepares a round of heartbeats; if domainOnly is set, only to the node's own failure domain. All processes get
 // the whole state if the node's record has changed, while a stop is announced, and in every fullHeartbeatEvery-th round. The
 // caller holds the lock.
-func (n *Node) buildRound(now time.Time, domainOnly bool) heartbeatRound {
-	round := heartbeatRound{state: n.state(now)}
+func (n *Node) buildRound(domainOnly bool) heartbeatRound {
+	round := heartbeatRound{state: n.state()}
 	full := n.self.Supersedes(&n.sentRecord)
 	if !domainOnly {
 		n.heartbeats++
@@ -92,10 +91,10 @@
 }
 
 // state returns the node's state without the load of its backend server. The caller holds the lock.
-func (n *Node) state(now time.Time) ctrl.State {
+func (n *Node) state() ctrl.State {
 	state := ctrl.State{Record: n.self, StoreEra: n.opts.Directory.Era()}
 	if n.table != nil {
-		state.ConfigVersion, state.ConfigAge = n.table.Version, n.freshness.Age(now)
+		state.ConfigVersion, state.ConfigAge = n.table.Version, n.freshness.Age(n.ageClock())
 	}
 	return state
 }
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -74,7 +74,8 @@
 	})
 	return New(Options{
 		Self: view.Record{Packets: packets, Control: link.Addr(), Role: view.Entry, Domain: "a", Incarnation: 5, State: view.Up},
-		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, MaxConfigAge: maxConfigAge, Log: zap.NewNop(), Vars: vars,
+		Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Directory: d, MaxConfigAge: maxConfigAge,
+		Suspended: func() time.Duration { return 0 }, Log: zap.NewNop(), Vars: vars,
 	})
 }
 
@@ -187,7 +188,7 @@
 	n.eraChecked = time.Time{}
 	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), StoreEra: 1})
 	is.True(!requested())
-	is.Equal(n.state(time.Now()).StoreEra, uint64(1))
+	is.Equal(n.state().StoreEra, uint64(1))
 }
 
 // Guards against searches for flows that wait for 30 s for an agent that had left before the store returned from an older copy, which
@@ -244,6 +245,38 @@
 	is.True(n.ConfigAge() < 2*time.Second) // A process that has known the era for longer confirms it.
 }
 
+// Guards against routes that are refused although they are in force: after a pause, heartbeats that were received before or during it
+// are handled as if they had just been sent, and confirmed an outdated configuration.
+func TestQueuedHeartbeatDoesNotConfirmConfiguration(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	heartbeat := ctrl.State{Record: agentRecord("desk"), ConfigVersion: 7}
+	n.adopt(route.NewTable(7, nil, time.Second), n.ageClock().Add(-5*time.Second), "test")
+	n.lastAgeTick = n.lastAgeTick.Add(-5 * time.Second)
+	n.onState(otherAddr, heartbeat)
+	is.True(n.ConfigAge() > 4*time.Second) // Handled before the first tick after the pause.
+	n.tick()
+	n.onState(otherAddr, heartbeat)
+	is.True(n.ConfigAge() > 4*time.Second)
+	n.resumedAt = n.resumedAt.Add(-queueDrainTime)
+	n.onState(otherAddr, heartbeat)
+	is.True(n.ConfigAge() < time.Second)
+}
+
+// As TestQueuedHeartbeatDoesNotConfirmConfiguration, for a suspension of the machine, which time.Since doesn't count.
+func TestConfigurationAgesWhileMachineIsSuspended(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	suspended := time.Duration(0)
+	n.opts.Suspended = func() time.Duration { return suspended }
+	n.adopt(route.NewTable(7, nil, time.Second), n.ageClock(), "test")
+	is.True(n.ConfigAge() < time.Second)
+	suspended = 5 * time.Second
+	is.True(n.ConfigAge() >= 5*time.Second)
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), ConfigVersion: 7})
+	is.True(n.ConfigAge() >= 5*time.Second)
+}
+
 // A process never replaces its configuration by an older one, such as that of a late response of the store.
 func TestConfigurationDoesNotRegress(t *testing.T) {
 	is := is.New(t)
@@ -408,7 +441,7 @@
 	full, compact, minimal := 0, 0, 0
 	const rounds = 23
 	for range rounds {
-		round := n.buildRound(time.Now(), false)
+		round := n.buildRound(false)
 		full, compact, minimal = full+len(round.full), compact+len(round.compact), minimal+len(round.minimal)
 		is.Equal(len(round.full)+len(round.compact)+len(round.minimal), 2)
 	}
@@ -416,7 +449,7 @@
 	is.Equal(minimal, 8) // Half of the 16 later ones to the other domain.
 	n.AnnounceStop(view.Draining)
 	is.Equal(n.sentRecord.State, view.Draining)
-	round := n.buildRound(time.Now(), true)
+	round := n.buildRound(true)
 	is.Equal(len(round.full)+len(round.compact)+len(round.minimal), 1) // Only the entry in the same failure domain.
 }
 
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -41,6 +41,8 @@
 	// pauseThreshold is the gap between two ticks above which this process itself counts as paused.
 	pauseThreshold = 700 * time.Millisecond
 	tickInterval   = 50 * time.Millisecond
+	// queueDrainTime is how long after a pause messages that were received before or during it may still be queued.
+	queueDrainTime = 500 * time.Millisecond
 	// eraCheckInterval is the minimum time between two reads of the store by which this process learns its era.
 	eraCheckInterval = 600 * time.Millisecond
 	// stopAnnouncementRepeats is how often the announcement of a stop is repeated, once a tick, while the process still
@@ -96,6 +98,8 @@
 	Seeds []netip.AddrPort
 	// MaxConfigAge is how long a configuration may stay in force after a newer one was accepted.
 	MaxConfigAge time.Duration
+	// Suspended returns how long the machine has been suspended, which time.Since doesn't count.
+	Suspended func() time.Duration
 	// Load returns the load of an agent's backend server; nil at an entry.
 	Load func() ctrl.ServerLoad
 	// OnConfigChange is called with each newer configuration, in the order of their versions, if set.
@@ -124,7 +128,9 @@
 	freshness *fresh.AgeTracker
 	fetching  bool
 	lastTick  time.Time
-	startedAt time.Time
+	// lastAgeTick is when the last tick was by ageClock, resumedAt when the process was found to have resumed after a pause.
+	lastAgeTick, resumedAt time.Time
+	startedAt              time.Time
 	// eraChecked is when this process last read the store since others know a higher era.
 	eraChecked time.Time
 	// suspicions holds the opinions of other entries on agents that are silent here.
@@ -178,6 +184,7 @@
 		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge), suspicions: alive.New(),
 		lastTick: now, startedAt: now, heartbeatRequested: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
+	n.lastAgeTick = n.ageClock()
 	n.view.Merge(opts.Self, now)
 	opts.Link.SetHandler(ctrl.KindState, ctrl.TypedHandler(n.onState))
 	opts.Link.SetHandler(ctrl.KindCompactState, ctrl.TypedHandler(n.onCompactState))
@@ -235,6 +242,11 @@
 	n.mu.Lock()
 	gap := now.Sub(n.lastTick)
 	n.lastTick = now
+	if age := n.ageClock(); n.paused(age) {
+		n.resumedAt, n.lastAgeTick = age, age
+	} else {
+		n.lastAgeTick = age
+	}
 	if gap > pauseThreshold {
 		n.opts.Log.Warn("process was not running", zap.Duration("gap", gap))
 		for _, p := range n.peers {
@@ -262,6 +274,20 @@
 	}
 }
 
+// ageClock returns the time by which the age of the configuration is measured. Unlike that of time.Now it goes on while the machine is
+// suspended.
+func (n *Node) ageClock() time.Time { return time.Now().Add(n.opts.Suspended()) }
+
+// paused reports whether the process was paused, or the machine suspended, since the last tick; now is a time of ageClock. The caller
+// holds the lock.
+func (n *Node) paused(now time.Time) bool { return now.Sub(n.lastAgeTick) > pauseThreshold }
+
+// mayBeQueued reports whether a message that is handled now may have been received before a pause of the process, and queued since.
+// The caller holds the lock.
+func (n *Node) mayBeQueued(now time.Time) bool {
+	return n.paused(now) || (!n.resumedAt.IsZero() && now.Sub(n.resumedAt) < queueDrainTime)
+}
+
 // TriggerHeartbeat sends the next heartbeat with the next tick.
 func (n *Node) TriggerHeartbeat() {
 	select {
@@ -273,7 +299,7 @@
 // NotifyDomain sends heartbeats at once, but only within the node's own failure domain, where traffic is cheap.
 func (n *Node) NotifyDomain() {
 	n.mu.Lock()
-	round := n.buildRound(time.Now(), true)
+	round := n.buildRound(true)
 	n.mu.Unlock()
 	n.sendRound(round)
 }
@@ -338,7 +364,7 @@
 func (n *Node) sendHeartbeats(now time.Time) {
 	n.mu.Lock()
 	n.lastHeartbeatSent = now
-	round := n.buildRound(now, false)
+	round := n.buildRound(false)
 	n.mu.Unlock()
 	n.sendRound(round)
 }
@@ -361,8 +387,8 @@
 	}
 	p.update(&state, now, n.opts.Log)
 	newer := state.ConfigVersion > n.configVersion()
-	if !newer && state.ConfigVersion == n.configVersion() && state.ConfigVersion > 0 {
-		n.freshness.Confirm(state.ConfigVersion, now.Add(-state.ConfigAge), rand.Float64())
+	if age := n.ageClock(); !newer && state.ConfigVersion == n.configVersion() && state.ConfigVersion > 0 && !n.mayBeQueued(age) {
+		n.freshness.Confirm(state.ConfigVersion, age.Add(-state.ConfigAge), rand.Float64())
 	}
 	fetch := newer && !n.fetching
 	n.fetching = n.fetching || fetch
@@ -506,7 +532,7 @@
 			newPeers = append(newPeers, r.Control)
 		}
 	}
-	state := n.state(now)
+	state := n.state()
 	n.mu.Unlock()
 	if len(newPeers) > 0 {
 		n.sendState(state, newPeers)
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -52,7 +52,7 @@
 func (n *Node) ConfigAge() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.freshness.Age(time.Now())
+	return n.freshness.Age(n.ageClock())
 }
 
 // RefreshConfig requests a read of the configuration from the store.
@@ -74,7 +74,7 @@
 		default:
 		}
 		n.mu.Lock()
-		due := n.freshness.ShouldRead(time.Now(), n.opts.Load != nil && len(n.peers) > 0)
+		due := n.freshness.ShouldRead(n.ageClock(), n.opts.Load != nil && len(n.peers) > 0)
 		n.mu.Unlock()
 		if !due && !requested {
 			return
@@ -92,13 +92,13 @@
 // readConfig reads the configuration by a function of Source, and puts it in force if it is newer. Whether the read confirms that the
 // version is the newest depends on how long the store's era is known. source is for the log.
 func (n *Node) readConfig(source string, read func() (*route.Table, error)) error {
-	started := time.Now()
+	started := n.ageClock()
 	table, err := read()
 	if err != nil || table == nil {
 		return err
 	}
 	n.mu.Lock()
-	confirmed := n.freshness.RecordRead(n.opts.Directory.Era(), started, time.Now(), rand.Float64())
+	confirmed := n.freshness.RecordRead(n.opts.Directory.Era(), started, n.ageClock(), rand.Float64())
 	n.mu.Unlock()
 	n.adopt(table, confirmed, source)
 	return nil
@@ -149,8 +149,8 @@
 // olderConfigsCounter counts the configurations that were read and are older than the one in force.
 const olderConfigsCounter = "older_configs_read"
 
-// adopt puts a configuration in force unless the one in force is as new or newer. confirmed is when it was known
-// to be the newest, the zero time if unknown; source is for the log.
+// adopt puts a configuration in force unless the one in force is as new or newer. confirmed is when it was known to be the newest, by
+// ageClock, the zero time if unknown; source is for the log.
 func (n *Node) adopt(table *route.Table, confirmed time.Time, source string) {
 	n.adoptMu.Lock()
 	defer n.adoptMu.Unlock()
@@ -370,7 +370,7 @@
 // sendHello sends a hello to the seeds: the node's state with RequestPeers set.
 func (n *Node) sendHello() {
 	n.mu.Lock()
-	state, seeds := n.state(time.Now()), n.seeds
+	state, seeds := n.state(), n.seeds
 	n.mu.Unlock()
 	state.RequestPeers = true
 	if err := ctrl.Broadcast(n.opts.Link, seeds, ctrl.KindState, state); err != nil {
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -108,7 +108,7 @@
 func (d *deployment) options(self view.Record, ln net.Listener, link *ctrl.Link, conf *tls.Config, table *route.Table) memb.Options {
 	return memb.Options{
 		Self: self, Link: link, Listener: ln, Client: ctrl.NewClient(conf, new(expvar.Map)), Source: fixedTable{table},
-		Directory: &d.directory, MaxConfigAge: 3 * time.Second, Log: zap.NewNop(), Vars: new(expvar.Map),
+		Directory: &d.directory, Suspended: func() time.Duration { return 0 }, MaxConfigAge: 3 * time.Second, Log: zap.NewNop(), Vars: new(expvar.Map),
 	}
 }
 
