cmd: a stopping process answers the requests that its HTTP servers have accepted

It can happen here: the servers for heartbeats, readiness and metrics were closed with their connections, so that a backend server's drain notice could be taken and left without an acknowledgement; the server then goes on in vain, or ends some seconds later without one. They now get up to 200 ms to answer.

TestStopAnswersAcceptedRequests failed before (EOF).

--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -160,10 +160,22 @@
 			return err
 		}
 		return nil
-	}, func(error) { _ = s.Close() })
+	}, func(error) { stopHTTP(s) })
 	return nil
 }
 
+// httpStopTimeout bounds the time in which a stopping HTTP server answers the requests that it has accepted.
+const httpStopTimeout = 200 * time.Millisecond
+
+// stopHTTP stops a server once it has answered the requests that it has accepted.
+func stopHTTP(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), httpStopTimeout)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		_ = s.Close() // Requests are left that take too long.
+	}
+}
+
 // metricsHandler serves the metrics of the process, one name and value per line.
 func (p *process) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
--- a/cmd/opaque_test.go
+++ b/cmd/opaque_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"expvar"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
 	"testing"
@@ -10,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/oklog/run"
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
@@ -183,3 +186,34 @@
 		}
 	}
 }
+
+// Guards against a heartbeat or drain notice of a backend server that is accepted, and cut off without an answer by a planned stop.
+func TestStopAnswersAcceptedRequests(t *testing.T) {
+	is := is.New(t)
+	var g run.Group
+	stop, accepted := make(chan struct{}), make(chan struct{})
+	g.Add(func() error { <-stop; return nil }, func(error) {})
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	is.NoErr(ln.Close())
+	is.NoErr(serveHTTP(context.Background(), &g, addr, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(accepted)
+		time.Sleep(httpStopTimeout / 4)
+		w.WriteHeader(http.StatusOK)
+	})))
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run() }()
+	answered := make(chan error, 1)
+	go func() {
+		resp, err := http.Get("http://" + addr.String())
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		answered <- err
+	}()
+	<-accepted
+	close(stop)
+	is.NoErr(<-answered)
+	is.NoErr(<-ended)
+}
