admin: Run returns only once accepted requests have been answered

The same mishap at the administration API: Serve returns as soon as Shutdown is called, and Run with it, so that the process could exit while a change that it had accepted was still being handled. The operator gets no answer, and doesn't know whether the change was made.

TestStopAnswersAcceptedRequests failed before (Run returned before the handler).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -68,15 +68,21 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
 
-// Run serves until ctx is done.
+// Run serves until ctx is done. It then returns once the requests that were accepted have been answered, or after shutdownTimeout.
 func (s *Server) Run(ctx context.Context) error {
+	stopped := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
 		defer cancel()
 		_ = s.http.Shutdown(ctx) // Close below closes the remaining connections.
 		_ = s.http.Close()
 	})
-	defer stop()
+	defer func() {
+		if !stop() {
+			<-stopped
+		}
+	}()
 	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "admin: serve")
 	}
