journ: entries that the store has lost are written again, and two histories aren't mixed

After the store's return from an older copy a process that knew later entries appended at its next position, beyond a gap: accepted changes, keys that had been dropped among them, were unknown to every process that started from then on. A process that didn't know them assigned their positions again, and both went on accepting changes. That store has no era, so the entries themselves are compared.

If the store has another entry at one of their positions, it refuses changes with ErrOtherHistory. It costs one read for each change.

TestLostEntriesAreWrittenAgain (position 1 instead of 4) and TestOtherHistoryIsRefused (the change was accepted) failed before.

--- a/internal/journ/journ_test.go
+++ b/internal/journ/journ_test.go
@@ -103,6 +103,58 @@
 	is.Equal(e.Position, uint64(1)) // The first attempt took effect; the repeat adds no entry.
 }
 
+// Guards against accepted changes that a process doesn't know after its start: the store has returned from an older copy without the
+// latest entries, and later ones lie beyond the gap.
+func TestLostEntriesAreWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := kvfake.NewMemory()
+	j := newJournal(store)
+	for i := range 3 {
+		_, err := j.Commit(ctx, create(fmt.Sprint("s", i), uint16(i+1)))
+		is.NoErr(err)
+	}
+	loseLast := func() {
+		store.Delete(EntryKey(2))
+		store.Delete(EntryKey(3))
+	}
+	loseLast()
+	_, err := j.Commit(ctx, create("desk", 9))
+	is.NoErr(err)
+	started := newJournal(store)
+	is.NoErr(started.CatchUp(ctx))
+	is.Equal(started.Position(), uint64(4))
+
+	store.SetDown(true)
+	is.True(j.CatchUp(ctx) != nil)
+	store.SetDown(false)
+	store.Delete(EntryKey(4))
+	loseLast()
+	is.NoErr(j.CatchUp(ctx)) // Without any commit, once the store is back.
+	started = newJournal(store)
+	is.NoErr(started.CatchUp(ctx))
+	is.Equal(started.Position(), uint64(4))
+}
+
+// Guards against changes that are accepted in two histories at once: a process that knows the lost entries doesn't append to a
+// store where another one has assigned their positions again.
+func TestOtherHistoryIsRefused(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	store := kvfake.NewMemory()
+	j := newJournal(store)
+	for i := range 2 {
+		_, err := j.Commit(ctx, create(fmt.Sprint("s", i), uint16(i+1)))
+		is.NoErr(err)
+	}
+	store.Delete(EntryKey(2))
+	_, err := newJournal(store).Commit(ctx, create("other", 9))
+	is.NoErr(err)
+	_, err = j.Commit(ctx, create("desk", 8))
+	is.True(errors.Is(err, ErrOtherHistory))
+	is.Equal(store.Len(), 2)
+}
+
 func TestStoreDownRefusesChangesAndKeepsState(t *testing.T) {
 	is := is.New(t)
 	ctx := t.Context()
--- a/internal/journ/journal.go
+++ b/internal/journ/journal.go
@@ -48,6 +48,9 @@
 	// commitMu serializes the commits of this process.
 	commitMu sync.Mutex
 
+	// storeFailed is set while the last CatchUp failed.
+	storeFailed atomic.Bool
+
 	stateMu sync.Mutex
 	state   *State
 	// tail holds the latest entries, up to the state's position.
@@ -142,8 +145,18 @@
 }
 
 // CatchUp applies new entries from the store until there are no more. An empty copy loads the newest snapshot first. If the
-// copy is up to date, CatchUp makes one call to the store.
+// copy is up to date, CatchUp makes one call to the store, and more after one that failed: the store may have returned from an older
+// copy, without its latest entries, which are then written again.
 func (j *Journal) CatchUp(ctx context.Context) error {
+	err := j.catchUp(ctx)
+	if err == nil && j.storeFailed.Load() {
+		err = j.repairStore(ctx)
+	}
+	j.storeFailed.Store(err != nil)
+	return err
+}
+
+func (j *Journal) catchUp(ctx context.Context) error {
 	if j.Position() == 0 {
 		if err := j.restoreSnapshot(ctx); err != nil {
 			return err
@@ -193,6 +206,9 @@
 		if err := j.CatchUp(ctx); err != nil {
 			return Entry{}, err
 		}
+		if err := j.repairStore(ctx); err != nil {
+			return Entry{}, err
+		}
 		e, done, err := j.tryCommit(ctx, change)
 		if done || err != nil {
 			return e, err
