--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -205,6 +205,9 @@
 	is.True(!n.rereadDue(time.Now()))
 	is.True(n.rereadDue(time.Now().Add(2 * relistTime)))
 	n.eraSeen = n.eraSeen.Add(-relistTime)
+	n.evaluateListings(d.records, true, time.Now())
+	is.Equal(holders(), 1) // The read may be older than the record that the agent has written again.
+	n.rereadAt = time.Now()
 	is.NoErr(n.syncDirectory(context.Background(), true))
 	is.Equal(holders(), 0)
 	is.True(!n.rereadDue(time.Now().Add(time.Hour)))
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -284,11 +284,12 @@
 			return err
 		}
 	}
-	listings, err := n.opts.Directory.List(ctx, registered)
+	stale := registered && !n.rereadDue(time.Now())
+	listings, err := n.opts.Directory.List(ctx, stale)
 	if err != nil {
 		return err
 	}
-	records := n.evaluateListings(listings, time.Now())
+	records := n.evaluateListings(listings, stale, time.Now())
 	n.mergeRecords(records)
 	n.recordDirectoryRead(records, time.Now())
 	for _, r := range records {
@@ -313,15 +314,15 @@
 
 // evaluateListings returns the records in the directory that are of processes to expect. Unconfirmed ones are, until relistTime after
 // this process first saw the store's era: the directory is then read again, and what is still unconfirmed, and not heard of, is taken
-// to have ended.
-func (n *Node) evaluateListings(listings []view.Listing, now time.Time) []view.Record {
+// to have ended. A stale read, which may show the directory as it was seconds ago, counts for that only after directoryReadInterval.
+func (n *Node) evaluateListings(listings []view.Listing, stale bool, now time.Time) []view.Record {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if era := n.opts.Directory.Era(); n.eraSeen.IsZero() || era != n.directoryEra {
 		n.directoryEra, n.eraSeen = era, now
 	}
 	n.rereadAt = time.Time{}
-	relisted := now.Sub(n.eraSeen) >= relistTime
+	relisted := now.Sub(n.eraSeen) >= relistTime && (!stale || now.Sub(n.eraSeen) >= directoryReadInterval)
 	var records []view.Record
 	for _, l := range listings {
 		p := n.peers[l.Packets]
