memb, fresh: requested reads are spread while a read confirms nothing; only reads of the store count as older

The event "configuration is older than the one in force" and its counter took a peer's table that had been overtaken during its fetch for the store's. A process answers with records of gone ones only if they are newer than those that it was sent.

TestRequestedReadsAreSpreadUntilStoreHasSettled is new; it fails without the bound.

--- a/internal/fresh/fresh.go
+++ b/internal/fresh/fresh.go
@@ -90,6 +90,13 @@
 	return true
 }
 
+// ShouldReadOnRequest reports whether a read that was requested should be made now. While a read confirms nothing, requested reads are
+// spread like retries: each packet without a route requests one.
+func (t *AgeTracker) ShouldReadOnRequest(now time.Time) bool {
+	settled := t.eraSeen.IsZero() || now.Sub(t.eraSeen) >= settleTime
+	return settled || now.Sub(t.lastRead) >= t.fractionOfMaxAge(retryFraction)
+}
+
 // Age returns the time since the last confirmation, or a day if there was none.
 func (t *AgeTracker) Age(now time.Time) time.Duration {
 	const never = 24 * time.Hour
--- a/internal/fresh/fresh_test.go
+++ b/internal/fresh/fresh_test.go
@@ -99,6 +99,20 @@
 	is.True(tracker.ShouldRead(now.Add(maxAge*33/100), false))
 }
 
+// Guards against a read of the store for each packet without a route while no read confirms the configuration.
+func TestRequestedReadsAreSpreadUntilStoreHasSettled(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	tracker := New(maxAge)
+	is.True(tracker.ShouldReadOnRequest(now))
+	tracker.RecordRead(1, now, now, 0)
+	is.True(!tracker.ShouldReadOnRequest(now.Add(50 * time.Millisecond)))
+	is.True(tracker.ShouldReadOnRequest(now.Add(maxAge / 5)))
+	now = now.Add(settleTime)
+	tracker.RecordRead(1, now, now, 0)
+	is.True(tracker.ShouldReadOnRequest(now.Add(50 * time.Millisecond)))
+}
+
 // A process that others normally notify reads only if they don't.
 func TestNotifiedProcessDelaysReads(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -492,8 +492,8 @@
 			running = append(running, r.Packets)
 		}
 	}
-	n.sendGone(from, running)
 	n.mergeRecords(msg.Records)
+	n.sendGone(from, running)
 }
 
 // sendGone sends a process the records of those of its peers that are gone.
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -74,12 +74,14 @@
 		default:
 		}
 		n.mu.Lock()
-		due := n.freshness.ShouldRead(n.ageClock(), n.opts.Load != nil && len(n.peers) > 0)
+		now := n.ageClock()
+		requested = requested && n.freshness.ShouldReadOnRequest(now)
+		due := n.freshness.ShouldRead(now, n.opts.Load != nil && len(n.peers) > 0)
 		n.mu.Unlock()
 		if !due && !requested {
 			return
 		}
-		err := n.readConfig("store", func() (*route.Table, error) { return n.opts.Source.Read(ctx) })
+		err := n.readConfig(sourceStore, func() (*route.Table, error) { return n.opts.Source.Read(ctx) })
 		if (err != nil) != storeFailing {
 			storeFailing = err != nil
 			n.logStoreAvailability(storeFailing, err)
@@ -89,6 +91,9 @@
 	return timer.Every(ctx, readCheckInterval, read)
 }
 
+// sourceStore names reads of the store in the log.
+const sourceStore = "store"
+
 // readConfig reads the configuration by a function of Source, and puts it in force if it is newer. Whether the read confirms that the
 // version is the newest depends on how long the store's era is known. source is for the log.
 func (n *Node) readConfig(source string, read func() (*route.Table, error)) error {
@@ -146,7 +151,7 @@
 // watcherSeed makes the order of watchers independent of other orders by hash.
 const watcherSeed = 0x77617463
 
-// olderConfigsCounter counts the configurations that were read and are older than the one in force.
+// olderConfigsCounter counts the reads of the store that returned an older configuration than the one in force.
 const olderConfigsCounter = "older_configs_read"
 
 // adopt puts a configuration in force unless the one in force is as new or newer. confirmed is when it was known to be the newest, by
@@ -159,7 +164,7 @@
 	if table.Version <= n.configVersion() && n.table != nil {
 		older, inForce := table.Version < n.configVersion(), n.configVersion()
 		n.mu.Unlock()
-		if older && source != "watch" {
+		if older && source == sourceStore {
 			n.opts.Vars.Add(olderConfigsCounter, 1)
 			n.opts.Log.Warn("configuration is older than the one in force", zap.Uint64("version", table.Version),
 				zap.Uint64("in_force", inForce), zap.String("from", source))
