memb: a process doesn't write its keys again with each retry while the directory can't be read

The process now counts as registered as long as all of its keys are known to be in the store (Current); only what is missing is written.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -105,12 +105,15 @@
 	return &Keeper{store: store, ttl: ttl, writing: make(chan struct{}, 1), keys: make(map[string]key)}
 }
 
-// Current reports whether the process has a lease, as far as it knows.
+// Current reports whether all keys are in the store under the process's lease, as far as it knows.
 func (k *Keeper) Current() bool {
-	lease := k.heldLease()
-	return lease != Lease{} && lease.Era == k.store.Era()
+	_, missing := k.missingKey()
+	return !missing && k.isCurrent(k.heldLease())
 }
 
+// isCurrent reports whether a lease is of the store's era, as far as this process knows.
+func (k *Keeper) isCurrent(lease Lease) bool { return lease != Lease{} && lease.Era == k.store.Era() }
+
 // Renew extends the lease. It returns ErrLeaseNotFound if there is none or it has ended; the next write requests a new one.
 func (k *Keeper) Renew(ctx context.Context) error {
 	lease := k.heldLease()
@@ -321,8 +324,8 @@
 
 // currentLease returns the process's lease and requests one from the store if there is none of the store's era.
 func (k *Keeper) currentLease(ctx context.Context) (Lease, error) {
-	if k.Current() {
-		return k.heldLease(), nil
+	if lease := k.heldLease(); k.isCurrent(lease) {
+		return lease, nil
 	}
 	lease, _, err := k.store.GrantLease(ctx, k.ttl)
 	if err != nil {
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
@@ -25,6 +26,8 @@
 	records         []view.Listing
 	registrations   int
 	deregistrations int
+	// listErr is the error of List.
+	listErr error
 	// era is the store's era, registeredIn that of the last registration.
 	era          atomic.Uint64
 	registeredIn uint64
@@ -36,11 +39,13 @@
 	d.records = append(d.records, view.Listing{Record: r})
 	return nil
 }
-func (*memoryDirectory) KeepAlive(context.Context) error                      { return nil }
-func (*memoryDirectory) KeepAliveInterval() time.Duration                     { return time.Minute }
-func (d *memoryDirectory) Current() bool                                      { return d.era.Load() == d.registeredIn }
-func (d *memoryDirectory) Era() uint64                                        { return d.era.Load() }
-func (d *memoryDirectory) List(context.Context, bool) ([]view.Listing, error) { return d.records, nil }
+func (*memoryDirectory) KeepAlive(context.Context) error  { return nil }
+func (*memoryDirectory) KeepAliveInterval() time.Duration { return time.Minute }
+func (d *memoryDirectory) Current() bool                  { return d.era.Load() == d.registeredIn }
+func (d *memoryDirectory) Era() uint64                    { return d.era.Load() }
+func (d *memoryDirectory) List(context.Context, bool) ([]view.Listing, error) {
+	return d.records, d.listErr
+}
 func (d *memoryDirectory) Deregister(context.Context) error {
 	d.deregistrations++
 	return nil
@@ -160,6 +165,18 @@
 	is.Equal(d.registrations, 2)
 }
 
+// Guards against writes to an overloaded store that follow each other without end: while the directory can't be read, a process wrote its
+// keys again with each retry.
+func TestKeysAreNotWrittenAgainWhileDirectoryCannotBeRead(t *testing.T) {
+	is := is.New(t)
+	d := &memoryDirectory{listErr: errors.New("overloaded")}
+	n := newNode(t, d)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*directoryRetryInterval+3*directoryCheckInterval)
+	defer cancel()
+	_ = n.maintainRegistration(ctx) // Ends with ctx.
+	is.Equal(d.registrations, 1)
+}
+
 // Guards against a process that doesn't notice for seconds that the store has lost changes, since it has no reason to call it.
 func TestEraIsLearnedFromHeartbeats(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -242,11 +242,11 @@
 	n.mu.Lock()
 	gap := now.Sub(n.lastTick)
 	n.lastTick = now
-	if age := n.ageClock(); n.paused(age) {
-		n.resumedAt, n.lastAgeTick = age, age
-	} else {
-		n.lastAgeTick = age
+	age := n.ageClock()
+	if n.paused(age) {
+		n.resumedAt = age
 	}
+	n.lastAgeTick = age
 	if gap > pauseThreshold {
 		n.opts.Log.Warn("process was not running", zap.Duration("gap", gap))
 		for _, p := range n.peers {
