keeper, platform: a process counts as registered by its record alone

The state of the record alone tells: what ends a lease, or the store's era, concerns all keys alike, and a failed save is repeated by the agent.

TestSaveDoesNotMakeRecordMissing failed before.

--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -105,10 +105,12 @@
 	return &Keeper{store: store, ttl: ttl, writing: make(chan struct{}, 1), keys: make(map[string]key)}
 }
 
-// Current reports whether all keys are in the store under the process's lease, as far as it knows.
-func (k *Keeper) Current() bool {
-	_, missing := k.missingKey()
-	return !missing && k.isCurrent(k.heldLease())
+// Current reports whether a key is in the store under the process's lease, as far as it knows.
+func (k *Keeper) Current(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	written, ok := k.keys[name]
+	return ok && written.lease == k.lease && k.isCurrent(k.lease)
 }
 
 // isCurrent reports whether a lease is of the store's era, as far as this process knows.
