admin: a store that holds another history is reported as such

The API answered 503, "the store doesn't answer; repeat", for a change that can't succeed until an operator has chosen one of the histories. It answers 500 with the reason now. TestOtherHistoryIsReported failed before (503).

--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -137,7 +137,8 @@
 	p.node = memb.New(memb.Options{
 		Self: record, Link: link, Listener: ln, Client: p.controlClient,
 		Source: platform.NewConfigSource(store, p.log), Directory: p.directory, Seeds: s.SeedAddresses(),
-		MaxConfigAge: s.Apply.Std(), Suspended: timer.TrackSuspension(), Load: opts.load, OnConfigChange: opts.onConfigChange, Log: p.log, Vars: p.vars,
+		MaxConfigAge: s.Apply.Std(), Suspended: timer.TrackSuspension(), Load: opts.load, OnConfigChange: opts.onConfigChange,
+		Log: p.log, Vars: p.vars,
 	})
 	p.log.Info("process started", zap.String("domain", s.Domain), zap.Uint64("incarnation", record.Incarnation),
 		zap.Stringer("store", s.Store), zap.Int("hosts", len(s.Hosts)), zap.Bool("first", s.First))
--- a/internal/admin/contract.go
+++ b/internal/admin/contract.go
@@ -110,6 +110,9 @@
 	case errors.Is(err, journ.ErrOutcomeUnknown):
 		w.Header().Set("Retry-After", "2")
 		writeError(w, http.StatusGatewayTimeout, ErrorResponse{Error: err.Error()})
+	case errors.Is(err, journ.ErrOtherHistory):
+		a.log.Error("change refused: the store holds another history", zap.Error(err))
+		writeError(w, http.StatusInternalServerError, ErrorResponse{Error: err.Error()})
 	default:
 		a.log.Warn("API request failed with a store error", zap.Error(err))
 		w.Header().Set("Retry-After", "2")
--- a/internal/admin/contract_test.go
+++ b/internal/admin/contract_test.go
@@ -148,6 +148,20 @@
 	is.Equal(serve(h, "POST", "/v1/contracts", "", createBody).code, http.StatusCreated)
 }
 
+// Guards against an operator who repeats a change that can't succeed: the store holds another history than the process.
+func TestOtherHistoryIsReported(t *testing.T) {
+	is := is.New(t)
+	h, store := newTestServer(t)
+	is.Equal(serve(h, "POST", "/v1/contracts", "", createBody).code, http.StatusCreated)
+	store.Delete(journ.EntryKey(1))
+	change := journ.Change{ID: "other", Op: journ.AddKey, Who: "test", Key: &fleet.SealedKey{}}
+	_, err := journ.New(store, func() {}).Commit(t.Context(), change)
+	is.NoErr(err)
+	res := serve(h, "POST", "/v1/keys/add?number=1", "", `{"id":"k1","who":"jana"}`)
+	is.Equal(res.code, http.StatusInternalServerError)
+	is.True(strings.Contains(res.body, "other entries"))
+}
+
 func TestKeyChanges(t *testing.T) {
 	is := is.New(t)
 	h, _ := newTestServer(t)
