deliv, relay, server: a server that returns a SYN gets no new flow for a while; SYNs are returned to the entry and held while no agent accepts

Cause: a crashed server returns each SYN at once and reports nothing in progress, so it looked best to every entry until its heartbeats were missed; where the fallback had crashed, too, the caller was reset and used up its retries in milliseconds. After a start of all processes entries reset the third copies of SYNs while they knew no agent yet.

Change: the agent refuses new flows for one report interval after its server has returned a SYN, and tells all entries at once (requested heartbeats no longer wait for the next tick); a start of the server or an accepted SYN ends that. A SYN that the fallback can't deliver either goes back to the entry, which sends it to another agent, three times at the most. While no agent accepts, the entry holds the SYN for 1.2 s, less than a client waits for an answer, and then refuses it: it has reached no server. If all servers refuse, each is tried again every 200 ms.

Tests: TestServerThatRefusesSynGetsNoNewFlow, TestServerThatRefusesSynIsTriedAgain, TestReturnedSynIsSentToAnotherAgent, TestSynIsHeldUntilAnAgentAcceptsFlows. TestUnservedFlowIsResetOnLastRetransmission asked for what cost the callers their retries; in its place TestSynIsHeldUntilAnAgentAcceptsFlows and TestHeldSynIsRefusedBeforeClientGivesUp check both ends of the wait. TestDrainingServerGetsNoNewFlow expects the SYN back at the entry instead of a reset.

--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -174,7 +174,25 @@
 	env.Equal(env.read(env.server), nil)
 	env.Equal(env.readKind(env.fallback), encap.Open)
 	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5, Hops: 1}, 1, syn)
-	env.Equal(env.read(env.client), []byte{'R', 0}) // Passed on before: refused.
+	env.Equal(env.readKind(env.entry), encap.Return) // Passed on before: the entry chooses another agent.
+	env.Equal(env.read(env.client), nil)
+}
+
+// A crashed server returns each SYN at once and has no requests in progress, so it would attract all new flows until its
+// heartbeats are missed.
+func TestServerThatRefusesSynGetsNoNewFlow(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
+	env.Equal(env.read(env.server), []byte{1})
+	env.receiveFromServer(1, flow.Header{Syn: true, Bounced: true})
+	env.Equal(env.readKind(env.fallback), encap.Open)
+	env.True(!env.agent.Load().Ready)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 2, syn)
+	env.Equal(env.read(env.server), nil)
+	env.Equal(env.readKind(env.fallback), encap.Open)
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", startedAt.Add(time.Minute) })
+	env.True(env.agent.Load().Ready) // It has started again.
 }
 
 func TestFlowOfAnotherServiceIsNotDelivered(t *testing.T) {
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -126,18 +126,22 @@
 	return a.server.RefusalReason(now)
 }
 
-// passOnOrRefuse passes the SYN of a flow that this server hasn't accepted on to the fallback agent, or refuses the flow
-// with a reset if there is none or the SYN was passed on maxHops times.
+// passOnOrRefuse passes the SYN of a flow that this server hasn't accepted on to the fallback agent. If there is none or the SYN
+// was passed on maxHops times, it returns the SYN to the entry, which chooses another agent; without an entry it refuses the flow
+// with a reset.
 func (a *Agent) passOnOrRefuse(key flow.Key, header encap.Header, h flow.Header, b []byte, reason string) {
 	passOn := a.mayPassOn(header)
 	a.opts.FlowLog.Info("new flow not taken", zap.Stringer("flow", key), zap.String("reason", reason),
 		zap.Bool("passed_on", passOn), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
-	if !passOn {
+	switch {
+	case passOn:
+		a.passOn(header, b)
+	case header.Entry.IsValid():
+		a.returnToEntry(b, header, header.Entry)
+	default:
 		a.counters.Add("open_refused", 1)
 		a.sendReset(h)
-		return
 	}
-	a.passOn(header, b)
 }
 
 // passOnOrDrop passes the SYN of a flow on to the fallback agent, or drops it: the client sends further copies, and a reset
@@ -272,6 +276,7 @@
 	}
 	if h.Syn && f.phase == phaseOpening {
 		f.synAckSeen = true
+		a.server.RecordOpenAccepted()
 		a.countOpenFlow(f)
 	}
 	if !h.Syn && (f.phase == phaseOpening || f.phase == phaseProbing) {
@@ -296,9 +301,11 @@
 	prev := *f
 	a.removeFlow(key)
 	if h.Opens() {
+		a.server.RecordOpenRefused(now)
+		a.updateReadiness(now)
 		a.passOnOrRefuse(key, encap.Header{
 			Kind: encap.Open, Hops: prev.hops, Service: prev.service, Fallback: prev.fallback, Entry: prev.entry,
-		}, h, b, "server_full")
+		}, h, b, string(server.ReasonOpensRefused))
 		return
 	}
 	a.denied.Put(key, struct{}{}, now)
--- a/internal/memb/agents.go
+++ b/internal/memb/agents.go
@@ -56,6 +56,15 @@
 	}
 }
 
+// RecordRefusal records that an agent returned the SYN of a new flow. It gets none until its next load report.
+func (n *Node) RecordRefusal(agent netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if p := n.peers[agent]; p != nil {
+		p.load.Ready = false
+	}
+}
+
 // PossibleHolders returns the agents of services as possible holders of a flow.
 func (n *Node) PossibleHolders(services []uint64) []seek.Candidate {
 	now := time.Now()
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -149,7 +149,7 @@
 	sentRecord      view.Record
 	// announcementsLeft is how often the announcement of the node's stop is still to be repeated.
 	announcementsLeft int
-	// heartbeatRequested makes the next tick send heartbeats; readRequested makes pollTable read the store.
+	// heartbeatRequested makes sendRequestedHeartbeats send heartbeats; readRequested makes pollTable read the store.
 	heartbeatRequested chan struct{}
 	readRequested      chan struct{}
 }
@@ -213,6 +213,7 @@
 		g.Add(func() error { return f(ctx) }, func(error) { cancel() })
 	}
 	addTask(func(ctx context.Context) error { return timer.Every(ctx, tickInterval, n.tick) })
+	addTask(n.sendRequestedHeartbeats)
 	addTask(n.pollConfig)
 	addTask(n.watchConfig)
 	addTask(n.maintainRegistration)
@@ -260,13 +261,7 @@
 	if n.opts.Load != nil {
 		interval = agentHeartbeatInterval
 	}
-	due := now.Sub(n.lastHeartbeatSent) >= interval
-	select {
-	case <-n.heartbeatRequested:
-		due = true
-	default:
-	}
-	due = due || n.announcementsLeft > 0
+	due := now.Sub(n.lastHeartbeatSent) >= interval || n.announcementsLeft > 0
 	n.mu.Unlock()
 	n.sendQuestions(questions)
 	if due {
@@ -288,7 +283,19 @@
 	return n.paused(now) || (!n.resumedAt.IsZero() && now.Sub(n.resumedAt) < queueDrainTime)
 }
 
-// TriggerHeartbeat sends the next heartbeat with the next tick.
+// sendRequestedHeartbeats sends heartbeats as soon as they are requested, until ctx is canceled.
+func (n *Node) sendRequestedHeartbeats(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.heartbeatRequested:
+			n.sendHeartbeats(time.Now())
+		}
+	}
+}
+
+// TriggerHeartbeat sends the next heartbeat at once, without waiting for its interval.
 func (n *Node) TriggerHeartbeat() {
 	select {
 	case n.heartbeatRequested <- struct{}{}:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,11 +44,6 @@
 	maxUnroutedFlows = 20_000
 	// rotationTimeout is the time without a client packet after which an entry counts as out of rotation.
 	rotationTimeout = 500 * time.Millisecond
-	// maxRetransmissions is how often a client retransmits a SYN.
-	maxRetransmissions = 2
-	// maxOpeningTime is how long after its first later packet a retransmission of a flow's SYN can arrive. Clients give up a SYN
-	// after 1.4 s.
-	maxOpeningTime = 2 * time.Second
 )
 
 // Codec parses and builds packets in the platform's format.
@@ -72,8 +67,9 @@
 	PossibleHolders(services []uint64) []seek.Candidate
 	// AllAgents returns the agents of all services; ok is false if there are more than limit.
 	AllAgents(limit int) (all []seek.Candidate, ok bool)
-	// RecordOpen records that the SYN of a new flow was sent to an agent.
+	// RecordOpen records that the SYN of a new flow was sent to an agent, RecordRefusal that the agent returned it.
 	RecordOpen(agent netip.AddrPort)
+	RecordRefusal(agent netip.AddrPort)
 	// Dead reports whether an agent counts as failed or is no longer known.
 	Dead(agent netip.AddrPort) bool
 	// AllAgentsKnown reports whether all agents are known and most processes are reachable, so that a flow denied by all
@@ -109,6 +105,8 @@
 	// lifetimes has the estimator of each route, by name.
 	lifetimes map[string]*pick.LifetimeEstimator
 	lists     map[netip.AddrPort]*flowList
+	// held has the flows whose SYN waits for an agent.
+	held map[flow.Key]*heldOpen
 	// unrouted has the time of the first packet without a route, by open flow.
 	unrouted *flow.Table[time.Time]
 	// listRequests counts the list requests sent; its value is the ID of the latest one.
@@ -128,6 +126,8 @@
 	// openSince is since when this entry has known that the flow is open: it sent a later packet than the SYN to the agent, or
 	// an agent reported the flow.
 	openSince time.Time
+	// refusals counts the agents that refused the SYN.
+	refusals int
 	// lifetimeRecorded is set once the flow is included in its route's lifetime estimate.
 	lifetimeRecorded bool
 	route            string
@@ -139,6 +139,7 @@
 		opts: opts, counters: new(expvar.Map), flows: flow.NewTable[flowState](defaultIdleTimeout, maxTableFlows),
 		searches: make(map[flow.Key]*search), lifetimes: make(map[string]*pick.LifetimeEstimator),
 		lists: make(map[netip.AddrPort]*flowList), unrouted: flow.NewTable[time.Time](unroutedTTL, maxUnroutedFlows),
+		held: make(map[flow.Key]*heldOpen),
 	}
 	r.clientPort = opts.ClientConn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", r.counters)
@@ -159,6 +160,7 @@
 	var g run.Group
 	g.Add(func() error { return r.serveClients() }, func(error) { _ = r.opts.ClientConn.Close() })
 	g.Add(func() error { return r.serveDatagrams() }, func(error) { _ = r.opts.EncapConn.Close() })
+	g.Add(func() error { return timer.Every(ctx, releaseInterval, r.releaseHeld) }, func(error) { cancel() })
 	g.Add(func() error { return timer.Every(ctx, sweepInterval, r.sweep) }, func(error) { cancel() })
 	return g.Run()
 }
@@ -301,64 +303,6 @@
 	return t.Version
 }
 
-// openFlow sends a SYN to the agent chosen for the flow. A retransmission avoids the agent that left the previous SYN
-// unanswered, if there is another one. A duplicate goes to the same agent, and so does a retransmission that is late: the client
-// has received a response since.
-func (r *Relay) openFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
-	f := r.flows.Get(key, now)
-	avoid := netip.AddrPort{}
-	if f != nil && (f.retransmissions >= h.AckNumber || now.Sub(f.openSince) < maxOpeningTime) {
-		r.sendOpen(f.agent, netip.AddrPort{}, f.service, b)
-		return
-	}
-	if f != nil {
-		avoid = f.agent
-	}
-	service := rt.ServiceForHash(key.Hash())
-	candidates := r.opts.Cluster.Agents(route.ServiceID(service))
-	newFlow := pick.Flow{Hash: key.Hash(), LongLived: r.estimatorFor(rt.Name).LongLived(), Objective: rt.Objective, Avoid: avoid}
-	choice := pick.Choose(newFlow, candidates)
-	if choice.First < 0 {
-		r.rejectUnserved(h, service, len(candidates))
-		return
-	}
-	first, fallback := candidates[choice.First].Agent, netip.AddrPort{}
-	if choice.Fallback >= 0 {
-		fallback = candidates[choice.Fallback].Agent
-	}
-	r.flows.Put(key, flowState{
-		agent: first, service: route.ServiceID(service), openedAt: now, retransmissions: h.AckNumber, route: rt.Name,
-	}, now)
-	r.opts.Cluster.RecordOpen(first)
-	r.counters.Add("opened", 1)
-	if logEntry := r.opts.FlowLog.Check(zap.InfoLevel, "flow placed"); logEntry != nil {
-		logEntry.Write(zap.Stringer("flow", key), zap.String("route", rt.Name), zap.Stringer("agent", first),
-			zap.Stringer("second", fallback), zap.Uint32("copy", h.AckNumber), zap.Uint64("hash", newFlow.Hash), zap.Bool("long", newFlow.LongLived),
-			zap.Duration("objective", newFlow.Objective), zap.Stringer("avoid", avoid),
-			zap.Uint64("version", configVersion(r.opts.Cluster.Table())), zap.String("members", pick.Trace(candidates)))
-	}
-	r.sendOpen(first, fallback, route.ServiceID(service), b)
-}
-
-// rejectUnserved handles a SYN for a service without a backend server that accepts new flows. The client retransmits
-// within a second, so the flow is reset only on the last retransmission.
-func (r *Relay) rejectUnserved(h flow.Header, service string, candidates int) {
-	final := h.AckNumber >= maxRetransmissions
-	r.opts.FlowLog.Warn("no backend server for a new flow", zap.Stringer("flow", h.KeyFromClient()), zap.String("service", service),
-		zap.Int("members", candidates), zap.Uint32("copy", h.AckNumber), zap.Bool("reset", final))
-	r.counters.Add("unserved", 1)
-	if final {
-		r.reset(h)
-	}
-}
-
-// sendOpen sends a SYN to an agent. A zero fallback keeps the agent from passing it on.
-func (r *Relay) sendOpen(agent, fallback netip.AddrPort, service uint64, b []byte) {
-	r.send(encap.Header{
-		Kind: encap.Open, Version: configVersion(r.opts.Cluster.Table()), Service: service, Fallback: fallback, Entry: r.opts.Self,
-	}, b, agent)
-}
-
 // send writes the header into the first encap.HeaderSize bytes of b and sends b.
 func (r *Relay) send(header encap.Header, b []byte, to netip.AddrPort) {
 	header.Encode(b)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,6 +31,7 @@
 
 // fakeCluster is a Cluster whose state is set by tests.
 type fakeCluster struct {
+	refused         []netip.AddrPort
 	table           *route.Table
 	age             time.Duration
 	agents          []pick.Candidate
@@ -48,6 +49,7 @@
 func (c *fakeCluster) PossibleHolders([]uint64) []seek.Candidate { return c.possibleHolders }
 func (c *fakeCluster) AllAgents(int) ([]seek.Candidate, bool)    { return c.allAgents, true }
 func (c *fakeCluster) RecordOpen(netip.AddrPort)                 {}
+func (c *fakeCluster) RecordRefusal(a netip.AddrPort)            { c.refused = append(c.refused, a) }
 func (c *fakeCluster) Dead(a netip.AddrPort) bool                { return c.dead[a] }
 func (c *fakeCluster) AcceptsNewFlows() bool                     { return len(c.agents) > 0 }
 func (c *fakeCluster) AllAgentsKnown() bool                      { return !c.isolated }
@@ -99,6 +101,14 @@
 	tr.relay.handleClientPacket(b)
 }
 
+// returnFromAgent passes the client packet id to the relay as returned by an agent.
+func (tr *testRelay) returnFromAgent(from *net.UDPConn, id byte) {
+	b := make([]byte, encap.HeaderSize+1, encap.HeaderSize+encap.MaxPacketSize)
+	(&encap.Header{Kind: encap.Return}).Encode(b)
+	b[encap.HeaderSize] = id
+	tr.relay.handleDatagram(ptest.Addr(from), b)
+}
+
 // sendFromAgent passes a datagram of an agent to the relay. A list reply has a single part and answers the latest request.
 func (tr *testRelay) sendFromAgent(from *net.UDPConn, header encap.Header, keys ...flow.Key) {
 	part := encap.ListPart{Total: 1}
@@ -224,13 +234,60 @@
 	tr.True(tr.receivesReset())
 }
 
-func TestUnservedFlowIsResetOnLastRetransmission(t *testing.T) {
+// Right after a start of all processes an entry knows no agent. A refusal would use up one of the client's retries, and its next
+// SYN would come too early as well: the first SYN must be sent as soon as an agent accepts flows.
+func TestSynIsHeldUntilAnAgentAcceptsFlows(t *testing.T) {
 	tr := newTestRelay(t)
+	agents := tr.cluster.agents
 	tr.cluster.agents = nil
 	tr.sendFromClient(1, syn)
+	tr.sendFromClient(2, flow.Header{Syn: true, AckNumber: 2})
+	tr.relay.releaseHeld()
 	tr.True(!tr.receivesReset())
-	tr.sendFromClient(2, flow.Header{Syn: true, AckNumber: maxRetransmissions})
+	tr.cluster.agents = agents
+	tr.relay.releaseHeld()
+	k, body := tr.receive(tr.agentA)
+	tr.Equal(k, encap.Open)
+	tr.Equal(body, []byte{1})
+	tr.relay.releaseHeld()
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Kind(0)) // Sent once.
+}
+
+func TestHeldSynIsRefusedBeforeClientGivesUp(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.agents = nil
+	tr.sendFromClient(1, syn)
+	tr.relay.held[key].since = time.Now().Add(-maxHoldTime)
+	tr.relay.releaseHeld()
 	tr.True(tr.receivesReset())
+	tr.Equal(len(tr.relay.held), 0)
+}
+
+// While most servers of a service are down, the first choice and its fallback may both have crashed.
+func TestReturnedSynIsSentToAnotherAgent(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, syn)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.returnFromAgent(tr.agentA, 1)
+	tr.Equal(tr.cluster.refused[0], ptest.Addr(tr.agentA))
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
+	tr.True(!tr.receivesReset())
+	for range maxRefusals {
+		tr.returnFromAgent(tr.agentB, 1)
+	}
+	tr.Equal(len(tr.relay.held), 1) // Kept for a later try instead of being sent around.
+}
+
+// The SYN that a crashed server returned may come back after a copy of it has opened the flow elsewhere.
+func TestLateReturnedSynDoesNotMoveOpenFlow(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, syn)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.sendFromClient(2, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.returnFromAgent(tr.agentB, 1)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Kind(0))
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
 }
 
 // A packet of an unknown flow must trigger list requests and then be forwarded to the agent that lists the flow.
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -290,6 +290,10 @@
 		return
 	}
 	key := h.KeyFromClient()
+	if h.Opens() {
+		r.handleRefusedOpen(agent, key, h, b, now)
+		return
+	}
 	r.counters.Add("returned", 1)
 	if f := r.flows.Peek(key); f != nil && f.agent == agent {
 		r.flows.Delete(key)
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -138,6 +138,7 @@
 	s.left = false
 	s.firstHeartbeatAt = now
 	s.unansweredOpens = 0
+	s.refusesOpensUntil = time.Time{}
 	s.lastPacketAt = now
 	s.meanServiceTime, s.samples, s.minHealthCheckTime = 0, 0, 0
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -14,6 +14,8 @@
 	openTimeout = 120 * time.Millisecond
 	// unansweredOpenThreshold is the number of consecutive unanswered SYNs from which on a server counts as unresponsive.
 	unansweredOpenThreshold = 2
+	// openRetryInterval is how long after a server refused a SYN it gets no other one: about one load report of the agent.
+	openRetryInterval = 200 * time.Millisecond
 	// rateWindow is the time constant of request rates: longer than a request, shorter than a load peak.
 	rateWindow = 2 * time.Second
 	// serviceTimeWeight is the weight of a new sample in the mean service time, which thus covers about 20 requests.
@@ -59,9 +61,11 @@
 	lastPacketAt        time.Time
 	unansweredOpens     int
 	firstUnansweredOpen time.Time
-	meanServiceTime     time.Duration
-	samples             int
-	minHealthCheckTime  time.Duration
+	// refusesOpensUntil is when the server is tried again after it refused a SYN.
+	refusesOpensUntil  time.Time
+	meanServiceTime    time.Duration
+	samples            int
+	minHealthCheckTime time.Duration
 	// firstRate is the rate of requests that are the first of their flow, followUpRate that of the others.
 	firstRate    eventRate
 	followUpRate eventRate
@@ -88,6 +92,7 @@
 	ReasonLeft              Reason = "left"
 	ReasonHeartbeatsMissing Reason = "heartbeats_missing"
 	ReasonOpensUnanswered   Reason = "opens_unanswered"
+	ReasonOpensRefused      Reason = "opens_refused"
 	ReasonOtherService      Reason = "other_service"
 )
 
@@ -105,6 +110,8 @@
 		return ReasonHeartbeatsMissing
 	case s.unansweredOpens >= unansweredOpenThreshold && now.Sub(s.firstUnansweredOpen) > openTimeout:
 		return ReasonOpensUnanswered
+	case now.Before(s.refusesOpensUntil):
+		return ReasonOpensRefused
 	}
 	return ReasonNone
 }
@@ -136,6 +143,13 @@
 	s.unansweredOpens++
 }
 
+// RecordOpenRefused records that the server refused the SYN of a flow: it has crashed, or can't hold more flows. It gets no SYN
+// until openRetryInterval has passed or it has started again.
+func (s *Server) RecordOpenRefused(now time.Time) { s.refusesOpensUntil = now.Add(openRetryInterval) }
+
+// RecordOpenAccepted records that the server accepted the SYN of a flow.
+func (s *Server) RecordOpenAccepted() { s.refusesOpensUntil = time.Time{} }
+
 // RecordRequest records the arrival of a request. followUp means that it isn't the first one of its flow.
 func (s *Server) RecordRequest(followUp bool, now time.Time) {
 	if followUp {
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -229,3 +230,55 @@
 	is.Equal(hb.EarliestStart(afterStart(time.Second), interval), epoch)
 	is.Equal(hb.EarliestStart(afterStart(time.Minute), interval), afterStart(56*time.Second)) // The clock was set ahead.
 }
+
+// Load pattern: half of the servers crash at a crest. A crashed server returns SYNs and is idle; it must get no new flow until it has
+// started again, and one that only was full for a moment is tried again after one load report.
+func TestServerThatRefusesSynIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(1), epoch)
+	s.RecordOpen(epoch)
+	s.RecordPacket(epoch) // The returned SYN.
+	s.RecordOpenRefused(epoch)
+	is.Equal(s.RefusalReason(epoch.Add(openRetryInterval-1)), ReasonOpensRefused)
+	mustRecordHeartbeat(t, s, heartbeat(2), epoch) // Sent before the crash: proves nothing.
+	is.Equal(s.RefusalReason(epoch), ReasonOpensRefused)
+	is.Equal(s.RefusalReason(epoch.Add(openRetryInterval)), ReasonNone)
+
+	s.RecordOpenRefused(epoch)
+	s.RecordOpenAccepted()
+	is.Equal(s.RefusalReason(epoch), ReasonNone)
+
+	s.RecordOpenRefused(epoch)
+	restarted := heartbeat(1)
+	restarted.ID, restarted.StartedAt = "i-restarted", epoch.Add(time.Second)
+	is.Equal(mustRecordHeartbeat(t, s, restarted, epoch.Add(time.Second)), ChangeStarted)
+	is.Equal(s.RefusalReason(epoch), ReasonNone)
+}
+
+// A server is never taken for crashed by its load: neither a busy nor a slow nor a cold one returns SYNs, and each accepts them within
+// openTimeout.
+func TestLoadedServersAreNotTakenForCrashed(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	falseAlarms := 0
+	for range 1000 {
+		s := newServer()
+		hb := heartbeat(1)
+		hb.ColdRemaining = time.Duration(rnd.IntN(2)) * 2 * time.Second
+		mustRecordHeartbeat(t, s, hb, epoch)
+		now := epoch
+		for range 50 {
+			now = now.Add(time.Duration(rnd.IntN(int(20 * time.Millisecond))))
+			s.RecordOpen(now)
+			now = now.Add(time.Duration(rnd.IntN(int(openTimeout))))
+			if s.RefusalReason(now) != ReasonNone {
+				falseAlarms++
+			}
+			s.RecordPacket(now)
+			s.RecordOpenAccepted()
+			s.RecordResponse(time.Duration(rnd.IntN(int(time.Second))), 1)
+		}
+	}
+	is.Equal(falseAlarms, 0)
+}
