pick, relay: flows count as long-lived by their second request, not by the time in which they wait

Change: the entry counts a flow's requests from the client's packets: new bytes after bytes of the server. A flow with a second request is long-lived; one that ends before isn't.

Tests: TestWaitingFlowHasOneRequest (a crest at which requests wait for seconds), TestRequestsAreCountedAcrossWrapOfSequenceNumbers.

--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/bergamotrun/bergamotrun/internal/flow"
 )
 
 func agent(i int) netip.AddrPort {
@@ -98,16 +100,37 @@
 	var e LifetimeEstimator
 	is.True(e.LongLived())
 	for range 20 {
-		e.RecordEnd()
+		e.RecordSingle()
 	}
 	is.True(!e.LongLived())
-	is.True(!e.RecordUse(100 * time.Millisecond))
 	for range 20 {
-		is.True(e.RecordUse(2 * time.Second))
+		e.RecordReused()
 	}
 	is.True(e.LongLived())
 }
 
+// Load pattern: at a crest, requests wait for seconds. Acknowledgements, retransmissions and the parts of an upload don't make a flow
+// with a single request a long-lived one.
+func TestWaitingFlowHasOneRequest(t *testing.T) {
+	is := is.New(t)
+	var c RequestCounter
+	is.Equal(c.Record(flow.Header{Ack: true, Seq: 100, AckNumber: 7000}), 0)
+	for _, part := range []uint32{100, 1300, 2500, 1300, 2500} {
+		is.Equal(c.Record(flow.Header{Ack: true, Seq: part, Len: 1200, AckNumber: 7000}), 1)
+	}
+	is.Equal(c.Record(flow.Header{Ack: true, Seq: 3700, AckNumber: 9000}), 1) // The response.
+	is.Equal(c.Record(flow.Header{Ack: true, Fin: true, Seq: 3700, AckNumber: 9000}), 1)
+	is.Equal(c.Record(flow.Header{Ack: true, Seq: 3700, Len: 50, AckNumber: 9000}), 2)
+	is.Equal(c.Record(flow.Header{Ack: true, Seq: 3750, Len: 50, AckNumber: 9500}), 3)
+}
+
+func TestRequestsAreCountedAcrossWrapOfSequenceNumbers(t *testing.T) {
+	is := is.New(t)
+	var c RequestCounter
+	is.Equal(c.Record(flow.Header{Ack: true, Seq: 0xFFFF_FFF0, Len: 32, AckNumber: 0xFFFF_FFFA}), 1)
+	is.Equal(c.Record(flow.Header{Ack: true, Seq: 0x10, Len: 32, AckNumber: 0x20}), 2)
+}
+
 // simulateQueues simulates single requests to servers of unequal speed at 85% utilization, with reports from all servers
 // every 200 ms, and returns the mean time in the system. A sent flow is counted sentWeight times.
 func simulateQueues(entries, sentWeight int, choose func(rnd *rand.Rand, candidates []Candidate, waits []time.Duration) int) time.Duration {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,7 +119,8 @@
 type flowState struct {
 	agent   netip.AddrPort
 	service uint64
-	// openedAt is when this entry sent the flow's SYN to the agent; it is zero if an agent reported the flow.
+	// openedAt is when this entry sent the flow's SYN to the agent; it is zero if an agent reported the flow, whose earlier requests
+	// this entry then hasn't seen.
 	openedAt time.Time
 	// retransmissions is the highest SYN retransmission number seen; the first transmission has number 0.
 	retransmissions uint32
@@ -130,6 +131,7 @@
 	refusals int
 	// lifetimeRecorded is set once the flow is included in its route's lifetime estimate.
 	lifetimeRecorded bool
+	requests         pick.RequestCounter
 	route            string
 }
 
@@ -234,7 +236,7 @@
 		r.findHolder(key, h, rt, b, now)
 		return
 	}
-	r.recordLifetime(f, h, now)
+	r.recordLifetime(f, h)
 	if f.openSince.IsZero() {
 		f.openSince = now
 	}
@@ -242,17 +244,18 @@
 	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(table), Service: f.service, Entry: r.opts.Self}, b, f.agent)
 }
 
-// recordLifetime adds a flow to its route's lifetime estimate once it counts as long-lived or has ended.
-func (r *Relay) recordLifetime(f *flowState, h flow.Header, now time.Time) {
+// recordLifetime adds a flow to its route's lifetime estimate once it has begun its second request or has ended before.
+func (r *Relay) recordLifetime(f *flowState, h flow.Header) {
 	if f.lifetimeRecorded || f.openedAt.IsZero() {
 		return
 	}
 	estimator := r.estimatorFor(f.route)
 	switch {
-	case estimator.RecordUse(now.Sub(f.openedAt)):
+	case f.requests.Record(h) > 1:
+		estimator.RecordReused()
 		f.lifetimeRecorded = true
 	case h.Fin || h.Rst:
-		estimator.RecordEnd()
+		estimator.RecordSingle()
 		f.lifetimeRecorded = true
 	}
 }
