pace, deliv: service times are measured under overload, without the wait in the server's queue

Cause: only requests that found a free slot were measured. At a crest the agent keeps one request more at the server than it has slots, so none was: a server that turned slow at a crest kept its old mean and got as many flows as before.

Change: pace.ServiceTimer derives the start of each request from the order in which they were sent and the ends of those before.

Tests: TestServiceTimesAreMeasuredUnderOverload, TestServiceTimeAfterCancelIsUnknown. The assertion that a request queued at the server isn't measured moved from the server's test to these two.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -107,6 +107,8 @@
 	// denied has flows that the server is known not to hold.
 	denied *flow.Table[struct{}]
 	queue  *pace.Queue[flow.Key]
+	// serviceTimer measures the service times of the requests at the server.
+	serviceTimer *pace.ServiceTimer[flow.Key]
 	// serverStarted has room for one signal, sent when the server has started.
 	serverStarted chan struct{}
 	// waitTimes records how long requests were queued.
@@ -143,7 +145,7 @@
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(now.UnixNano()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
-		queue: pace.New[flow.Key](), waitTimes: logs.NewHistogram(),
+		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
 	if opts.FirstStart {
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -64,11 +64,9 @@
 	clientNextSeq  uint32
 	clientDataSeen bool
 	// requestPending means that a request arrived at requestedAt and no response has begun. Either requestQueued is set
-	// and the packets are in buffered, or the request went to the server at dispatchedAt, when concurrency requests
-	// were running, this one included.
+	// and the packets are in buffered, or the request went to the server.
 	requestPending, requestQueued bool
-	requestedAt, dispatchedAt     time.Time
-	concurrency                   int
+	requestedAt                   time.Time
 	buffered                      [][]byte
 	// responseSeen means that the flow has carried a response, so that its next request isn't its first. It is also set for
 	// a flow that the agent hasn't seen from its start.
@@ -141,6 +139,7 @@
 	if f.requestPending {
 		f.requestPending, f.requestQueued, f.buffered = false, false, nil
 		a.queue.Remove(key)
+		a.serviceTimer.Cancel(key)
 		a.dispatch(time.Now())
 	}
 	a.setPhase(f, phaseClosed)
@@ -196,7 +195,8 @@
 func (a *Agent) startRequest(key flow.Key, f *flowState, now time.Time) {
 	a.queue.Remove(key)
 	a.queue.Start(key, now)
-	f.requestQueued, f.dispatchedAt, f.concurrency = false, now, a.queue.Running()
+	a.serviceTimer.Send(key, a.server.Slots(), now)
+	f.requestQueued = false
 }
 
 // isHeldElsewhere reports whether the server certainly doesn't hold the flow of a client's packet h, whose state is f or nil. A
@@ -278,7 +278,8 @@
 				zap.Int("still_waiting", a.queue.Waiting()), zap.Int("running", a.queue.Running()), zap.Int("slots", a.server.Slots()),
 				zap.Duration("service", a.server.MeanServiceTime()))
 		}
-		f.requestQueued, f.dispatchedAt, f.concurrency = false, now, a.queue.Running()
+		a.serviceTimer.Send(key, a.server.Slots(), now)
+		f.requestQueued = false
 		for _, packet := range f.buffered {
 			a.sendToServer(packet)
 		}
@@ -296,7 +297,9 @@
 	if h.Len > 0 && f.requestPending && !f.requestQueued {
 		f.requestPending, f.responseSeen = false, true
 		a.queue.Remove(key)
-		a.server.RecordResponse(now.Sub(f.dispatchedAt), f.concurrency)
+		if serviceTime, ok := a.serviceTimer.Complete(key, now); ok {
+			a.server.RecordServiceTime(serviceTime)
+		}
 		a.dispatch(now)
 	}
 	if h.Rst || (f.clientFin && f.serverFin) {
@@ -308,6 +311,7 @@
 func (a *Agent) expireRequests(now time.Time) {
 	expired, stuck := a.queue.Expire(now, stuckTimeout)
 	for _, key := range append(expired, stuck...) {
+		a.serviceTimer.Cancel(key)
 		if f := a.flows.Peek(key); f != nil {
 			f.requestPending, f.requestQueued, f.buffered = false, false, nil
 		}
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -165,3 +165,45 @@
 	is.True(ok)
 	is.Equal(id, 2)
 }
+
+// Load pattern: a server with one request more than it has slots, all the time. Its service times must be measured without the time
+// that requests wait for a slot there: at a crest each request does.
+func TestServiceTimesAreMeasuredUnderOverload(t *testing.T) {
+	is := is.New(t)
+	const slots = 2
+	timer := NewServiceTimer[int]()
+	at := func(ms int) time.Time { return base.Add(time.Duration(ms) * time.Millisecond) }
+	timer.Send(1, slots, at(0))
+	timer.Send(2, slots, at(0))
+	timer.Send(3, slots, at(0)) // Starts when the first one ends.
+	complete := func(id, ms int) time.Duration {
+		serviceTime, ok := timer.Complete(id, at(ms))
+		is.True(ok)
+		return serviceTime
+	}
+	is.Equal(complete(2, 40), 40*time.Millisecond)
+	timer.Send(4, slots, at(40))
+	is.Equal(complete(1, 60), 60*time.Millisecond)
+	is.Equal(complete(3, 85), 45*time.Millisecond)
+	is.Equal(complete(4, 100), 40*time.Millisecond)
+	is.Equal(len(timer.startedAt)+len(timer.queued), 0)
+}
+
+// A caller that leaves doesn't show when the server starts the next request, whose service time is then unknown.
+func TestServiceTimeAfterCancelIsUnknown(t *testing.T) {
+	is := is.New(t)
+	timer := NewServiceTimer[int]()
+	for id := range 3 {
+		timer.Send(id, 1, base)
+	}
+	timer.Cancel(2)
+	timer.Cancel(0)
+	_, ok := timer.Complete(1, base.Add(time.Second))
+	is.True(!ok)
+	timer.Send(3, 1, base)
+	serviceTime, ok := timer.Complete(3, base.Add(time.Second))
+	is.True(ok)
+	is.Equal(serviceTime, time.Second)
+	_, ok = timer.Complete(9, base)
+	is.True(!ok)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -159,18 +159,14 @@
 	s.firstRate.add(now)
 }
 
-// RecordResponse records the time from sending a request to the server until the start of the response. concurrency is the
-// number of requests at the server when this one was sent, this one included.
-func (s *Server) RecordResponse(responseTime time.Duration, concurrency int) {
-	if concurrency > s.Slots() {
-		return // The response time includes the wait in the server's queue.
-	}
+// RecordServiceTime records the time from the start of a request at the server until the start of the response.
+func (s *Server) RecordServiceTime(serviceTime time.Duration) {
 	s.samples++
 	if s.samples > minSamples {
-		responseTime = min(responseTime, outlierFactor*s.meanServiceTime)
+		serviceTime = min(serviceTime, outlierFactor*s.meanServiceTime)
 	}
 	weight := max(1/float64(s.samples), serviceTimeWeight)
-	s.meanServiceTime += time.Duration(weight * float64(responseTime-s.meanServiceTime))
+	s.meanServiceTime += time.Duration(weight * float64(serviceTime-s.meanServiceTime))
 }
 
 // Slots returns the number of requests that the server processes concurrently, or 1 if it isn't known.
@@ -181,7 +177,7 @@
 	return 1
 }
 
-// MeanServiceTime returns the mean service time of requests that found a free slot, or 0 with fewer than minSamples.
+// MeanServiceTime returns the mean service time, or 0 with fewer than minSamples.
 func (s *Server) MeanServiceTime() time.Duration {
 	if s.samples < minSamples {
 		return 0
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -155,10 +155,9 @@
 	mustRecordHeartbeat(t, s, heartbeat(1), epoch)
 	is.Equal(s.MeanServiceTime(), time.Duration(0))
 	for range 50 {
-		s.RecordResponse(20*time.Millisecond, 1)
+		s.RecordServiceTime(20 * time.Millisecond)
 	}
-	s.RecordResponse(2*time.Second, 1) // An outlier.
-	s.RecordResponse(time.Second, 9)   // Queued at the server.
+	s.RecordServiceTime(2 * time.Second) // An outlier.
 	is.True(s.MeanServiceTime() < 25*time.Millisecond)
 	is.True(s.MeanServiceTime() >= 20*time.Millisecond)
 }
@@ -277,7 +276,7 @@
 			}
 			s.RecordPacket(now)
 			s.RecordOpenAccepted()
-			s.RecordResponse(time.Duration(rnd.IntN(int(time.Second))), 1)
+			s.RecordServiceTime(time.Duration(rnd.IntN(int(time.Second))))
 		}
 	}
 	is.Equal(falseAlarms, 0)
