pick: a queue in an old report drains by what the server can do

Cause: a reported number of requests was replaced by the steady-state mean with a half-life of 60 ms.

Change: what exceeds the steady state is taken to shrink by the requests that the server completes meanwhile.

Test: TestQueueInOldReportIsNotForgotten.

--- a/internal/pick/pick.go
+++ b/internal/pick/pick.go
@@ -232,12 +232,16 @@
 }
 
 // expectedPending returns the expected number of requests in progress: the reported number, blended with the steady-state
-// mean as the report ages, plus the flows sent since.
+// mean as the report ages, plus the flows sent since. A queue that was reported lasts longer than that: it gets shorter only by
+// what the server can do.
 func (c *Candidate) expectedPending(agg aggregate) float64 {
 	l := &c.Load
-	steadyState := (agg.ratePerFlow*float64(l.Flows) + l.FirstRate) * l.expectedServiceTime(agg).Seconds()
+	serviceTime := l.expectedServiceTime(agg).Seconds()
+	steadyState := (agg.ratePerFlow*float64(l.Flows) + l.FirstRate) * serviceTime
+	reported, served := float64(l.PendingRequests), c.Age.Seconds()*l.slotCount()/serviceTime
+	later := max(steadyState, reported-served)
 	reportWeight := math.Exp2(-float64(c.Age) / float64(reportHalfLife))
-	return float64(l.PendingRequests)*reportWeight + steadyState*(1-reportWeight) + float64(c.NewFlows)
+	return reported*reportWeight + later*(1-reportWeight) + float64(c.NewFlows)
 }
 
 // expectedServiceTime returns the measured service time or, without one, the estimate from the health check or the median.
--- a/internal/pick/pick_test.go
+++ b/internal/pick/pick_test.go
@@ -95,6 +95,22 @@
 	is.Equal(Choose(Flow{Objective: time.Second}, []Candidate{old, fresh}).First, 1)
 }
 
+// Load pattern: a crest beyond capacity, where servers in other failure domains report every 400 ms. A queue of a hundred requests
+// doesn't vanish in that time: only what the server can do meanwhile does.
+func TestQueueInOldReportIsNotForgotten(t *testing.T) {
+	is := is.New(t)
+	queued := ready(0, Load{Slots: 5, PendingRequests: 100, MeanServiceTime: 40 * time.Millisecond, FirstRate: 120})
+	queued.Age = 300 * time.Millisecond
+	other := ready(1, Load{Slots: 5, PendingRequests: 40, MeanServiceTime: 40 * time.Millisecond, FirstRate: 120})
+	f := Flow{Objective: 200 * time.Millisecond}
+	is.Equal(Choose(f, []Candidate{queued, other}).First, 1)
+	agg := aggregateOf([]Candidate{queued, other})
+	expected := queued.expectedPending(agg)
+	is.True(expected > 62 && expected < 64) // 300 ms of work are done.
+	queued.Age = 2 * time.Second
+	is.Equal(Choose(f, []Candidate{queued, other}).First, 0)
+}
+
 func TestLifetimeEstimator(t *testing.T) {
 	is := is.New(t)
 	var e LifetimeEstimator
