memb: a process reads the directory at once at its start, and an agent reports its load to a new entry at once

Change: the first directory sync comes before the first interval, and an agent that learns of a new or restarted entry sends its state.

Test: TestAgentReportsLoadToNewEntryAtOnce.

--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -16,7 +16,7 @@
 	var lastAttempt, lastRead time.Time
 	registered, failing := false, false
 	n.sendHello()
-	err := timer.Every(ctx, directoryCheckInterval, func() {
+	maintain := func() {
 		now := time.Now()
 		registered = registered && n.opts.Directory.Current()
 		if registered && now.Sub(lastAttempt) < n.opts.Directory.KeepAliveInterval() && now.Sub(lastRead) < directoryReadInterval &&
@@ -34,7 +34,9 @@
 			return
 		}
 		registered, lastRead = true, now
-	})
+	}
+	maintain()
+	err := timer.Every(ctx, directoryCheckInterval, maintain)
 	if n.opts.Load == nil || n.isGone() {
 		n.deregister(ctx)
 	}
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -505,6 +505,23 @@
 	is.Equal(sent()-before, int64(1+maxHelloRecords/ctrl.MaxPeerRecords))
 }
 
+// Load pattern: all processes start again while callers wait. An entry that has heard of one agent only sends it all of them, so each
+// agent must report its load to a new entry at once; to a known one it reports at its interval.
+func TestAgentReportsLoadToNewEntryAtOnce(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	n.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+	entry := view.Record{Packets: otherAddr, Control: otherAddr, Role: view.Entry, Domain: "b", Incarnation: 1, State: view.Up}
+	sent := func() int64 { return counterValue(n, "messages_out") }
+	n.onState(otherAddr, ctrl.State{Record: entry})
+	is.Equal(sent(), int64(1))
+	n.onState(otherAddr, ctrl.State{Record: entry})
+	is.Equal(sent(), int64(1))
+	entry.Incarnation++
+	n.onState(otherAddr, ctrl.State{Record: entry})
+	is.Equal(sent(), int64(2)) // It has started again.
+}
+
 // Guards against a planned stop that counts as a failure since its only announcement was lost.
 func TestStopAnnouncementIsRepeated(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -385,6 +385,7 @@
 		n.mu.Unlock()
 		return
 	}
+	previous := n.peers[state.Record.Packets]
 	p := n.mergePeer(state.Record, now)
 	if p == nil {
 		later, _ := n.view.Get(state.Record.Packets)
@@ -401,7 +402,12 @@
 	n.fetching = n.fetching || fetch
 	record, _ := n.view.Get(state.Record.Packets)
 	n.checkEra(state.StoreEra, now)
+	awaitsLoad := p != previous && n.opts.Load != nil
+	ownState := n.state()
 	n.mu.Unlock()
+	if awaitsLoad { // An entry that has just started would send all new flows to the few agents that it has heard of.
+		n.sendState(ownState, []netip.AddrPort{state.Record.Control})
+	}
 	if fetch {
 		go n.fetch(from, state.ConfigVersion)
 	}
