relay: a paused search for a flow goes on without the client's next packet

Cause: when all machines lose power, the clients of running requests retransmit after 0.2, 0.6, 1.4 and 3 s.

The conditions of a reset are the same. Without a packet of the client no server is probed.

Tests: TestPausedSearchGoesOnWithoutClient, TestSearchWithoutClientDoesNotProbe.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -466,7 +466,7 @@
 	tr.sendFromClient(1, ack)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
 	tr.relay.mu.Lock()
-	tr.relay.pauseSearch(tr.relay.searches[key], time.Now()) // B hasn't replied.
+	tr.relay.pauseSearch(key, tr.relay.searches[key], time.Now()) // B hasn't replied.
 	tr.relay.mu.Unlock()
 	tr.cluster.possibleHolders[0].Dead, tr.cluster.allAgents[0].Dead = false, false
 	tr.sendFromClient(1, ack)
@@ -474,6 +474,46 @@
 	tr.True(!tr.receivesReset())
 }
 
+// Load pattern: all machines lose power while requests run. Their clients retransmit less and less often; one whose flow is lost must be
+// told as soon as all agents are known, while it has the time for another try.
+func TestPausedSearchGoesOnWithoutClient(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.isolated = true
+	tr.sendFromClient(1, ack)
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		tr.sendFromAgent(c, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held})
+	}
+	s := tr.relay.searches[key]
+	tr.relay.resumeUnattended(key, s)
+	tr.True(!tr.receivesReset())
+	tr.cluster.isolated = false
+	tr.relay.resumeUnattended(key, s)
+	tr.True(tr.receivesReset())
+	tr.Equal(len(tr.relay.searches), 0)
+}
+
+// A client's packet is sent to a server that may not hold its flow only when the client has just sent it.
+func TestSearchWithoutClientDoesNotProbe(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	tr.relay.mu.Lock()
+	s := tr.relay.searches[key]
+	tr.relay.pauseSearch(key, s, time.Now())
+	tr.relay.mu.Unlock()
+	tr.relay.resumeUnattended(key, s)
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		tr.sendFromAgent(c, encap.Header{Kind: encap.QueryReply, Verdict: seek.Perhaps}, key)
+	}
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		for k := tr.receiveKind(c); k != 0; k = tr.receiveKind(c) {
+			tr.True(k == encap.ListFlows || k == encap.Query)
+		}
+	}
+	tr.sendFromClient(1, ack)
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
+	tr.Equal(len(tr.relay.searches), 0)
+}
+
 // A part of a list that arrives twice must not stand for one that was lost: flows in the lost part would be reset.
 func TestDuplicatePartDoesNotCompleteList(t *testing.T) {
 	tr := newTestRelay(t)
@@ -578,7 +618,7 @@
 	tr.relay.mu.Lock()
 	defer tr.relay.mu.Unlock()
 	s, now := tr.relay.searches[key], time.Now()
-	tr.relay.pauseSearch(s, now)
+	tr.relay.pauseSearch(key, s, now)
 	s.startedAt, s.pausedAt = now.Add(-age), now.Add(-age)
 }
 
@@ -641,7 +681,7 @@
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.ListReply, Verdict: seek.Held, Version: 5}) // Not exhaustive.
 	tr.relay.mu.Lock()
 	tr.True(!tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
-	tr.relay.pauseSearch(tr.relay.searches[key], time.Now()) // B hasn't replied.
+	tr.relay.pauseSearch(key, tr.relay.searches[key], time.Now()) // B hasn't replied.
 	tr.relay.mu.Unlock()
 	tr.sendFromClient(2, ack)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Query)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -26,6 +26,9 @@
 	// searchLifetime is how long the verdicts of an unsuccessful search are reused. A search that was paused for that time is
 	// removed.
 	searchLifetime = 5 * time.Second
+	// resumeInterval is how long a paused search waits for the client's next packet before it goes on without one. Flow lists are
+	// requested at most that often.
+	resumeInterval = minListInterval
 )
 
 // search is the state of a search for the agent that holds one flow.
@@ -41,9 +44,10 @@
 	timer   *time.Timer
 	// allServices is set if the agents of all services are queried, not only those of the route's services.
 	allServices bool
-	// paused is set while the search waits for the client's next packet, since pausedAt.
-	paused   bool
-	pausedAt time.Time
+	// paused is set while the search waits for the client's next packet, since pausedAt. unattended is set while it goes on without
+	// one; it then sends no packet to servers that may not hold the flow.
+	paused, unattended bool
+	pausedAt           time.Time
 }
 
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
@@ -62,14 +66,44 @@
 		r.searches[key] = s
 		r.counters.Add("searched", 1)
 	}
-	s.packetHeader = h
+	s.packetHeader, s.unattended = h, false
 	s.queuePacket(b)
 	if s.paused {
-		s.paused = false
-		s.Update(r.possibleHolders(rt, s.allServices), now)
-		r.queryUnanswered(key, s, now)
-		r.step(key, s, now)
+		r.resume(key, s, rt, now)
+	}
+}
+
+// resume continues a paused search.
+func (r *Relay) resume(key flow.Key, s *search, rt *route.Route, now time.Time) {
+	s.paused = false
+	s.Update(r.possibleHolders(rt, s.allServices), now)
+	r.queryUnanswered(key, s, now)
+	r.step(key, s, now)
+}
+
+// resumeUnattended continues a paused search whose client has sent nothing since. After a loss of all processes clients retransmit
+// seconds later, and could use that time for another try if their flow is lost.
+func (r *Relay) resumeUnattended(key flow.Key, s *search) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if r.searches[key] != s || !s.paused || s.expired(now) {
+		return
+	}
+	if !r.opts.Cluster.AllAgentsKnown() {
+		r.scheduleResume(key, s)
+		return
 	}
+	s.unattended = true
+	r.resume(key, s, r.opts.Cluster.Table().Lookup(s.packetHeader.Dst), now)
+}
+
+// scheduleResume calls resumeUnattended after resumeInterval.
+func (r *Relay) scheduleResume(key flow.Key, s *search) {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.timer = time.AfterFunc(resumeInterval, func() { r.resumeUnattended(key, s) })
 }
 
 // newSearch returns a search among the agents of the route's services. A nil route means that there is no configuration
@@ -122,6 +156,10 @@
 	case seek.Forward:
 		r.handleFound(key, s, step.Agents[0], now)
 	case seek.Probe:
+		if s.unattended {
+			r.pauseSearch(key, s, now)
+			return
+		}
 		r.counters.Add("tried", int64(len(step.Agents)))
 		r.opts.FlowLog.Info("probing servers that may hold the flow", zap.Stringer("flow", key), zap.Int("servers", len(step.Agents)),
 			zap.Duration("after", now.Sub(s.startedAt)), zap.String("answers", s.Trace()))
@@ -136,7 +174,7 @@
 		}
 		r.handleLost(key, s, now)
 	case seek.Drop:
-		r.pauseSearch(s, now)
+		r.pauseSearch(key, s, now)
 	}
 }
 
@@ -145,7 +183,7 @@
 func (r *Relay) searchAllServices(key flow.Key, s *search, now time.Time) {
 	all, ok := r.opts.Cluster.AllAgents(maxAgentsOfAllServices)
 	if !ok {
-		r.pauseSearch(s, now)
+		r.pauseSearch(key, s, now)
 		return
 	}
 	s.allServices = true
@@ -163,10 +201,14 @@
 	r.step(key, s, now)
 }
 
-// pauseSearch drops the queued packets and waits for the client's next one, which resumes the search.
-func (r *Relay) pauseSearch(s *search, now time.Time) {
+// pauseSearch drops the queued packets and waits for the client's next one, which resumes the search, or for resumeInterval.
+func (r *Relay) pauseSearch(key flow.Key, s *search, now time.Time) {
 	r.counters.Add("search_failed", 1)
-	s.packets, s.paused, s.pausedAt = nil, true, now
+	s.packets, s.paused = nil, true
+	if !s.unattended {
+		s.pausedAt = now
+	}
+	r.scheduleResume(key, s)
 }
 
 // expired reports whether a search is paused and too old for its verdicts to be reused.
@@ -209,17 +251,20 @@
 }
 
 // handleLost resets a flow that no agent holds, so that its client can reconnect at once. Nothing is reset while some
-// agents may be unknown.
+// agents may be unknown; the search then goes on later.
 func (r *Relay) handleLost(key flow.Key, s *search, now time.Time) {
-	mayReset := r.opts.Cluster.AllAgentsKnown()
-	r.opts.FlowLog.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", mayReset),
+	r.flows.Delete(key)
+	if !r.opts.Cluster.AllAgentsKnown() {
+		r.pauseSearch(key, s, now)
+		return
+	}
+	r.opts.FlowLog.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", !s.packetHeader.Rst),
 		zap.Duration("took", now.Sub(s.startedAt)), zap.Bool("fin", s.packetHeader.Fin), zap.Int("len", s.packetHeader.Len), zap.String("answers", s.Trace()))
 	r.counters.Add("lost", 1)
-	if mayReset && !s.packetHeader.Rst {
+	if !s.packetHeader.Rst {
 		r.counters.Add("reset_lost", 1)
 		r.reset(s.packetHeader)
 	}
-	r.flows.Delete(key)
 	r.removeSearch(key, s)
 }
 
