--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -380,8 +380,7 @@
 func (n *Node) onState(from netip.AddrPort, state ctrl.State) {
 	now := time.Now()
 	n.mu.Lock()
-	if state.Record.Packets == n.self.Packets {
-		n.refute(state.Record, now)
+	if n.handleOwnRecord(state.Record, now) {
 		n.mu.Unlock()
 		return
 	}
@@ -402,12 +401,9 @@
 	n.fetching = n.fetching || fetch
 	record, _ := n.view.Get(state.Record.Packets)
 	n.checkEra(state.StoreEra, now)
-	awaitsLoad := p != previous && n.opts.Load != nil
 	ownState := n.state()
 	n.mu.Unlock()
-	if awaitsLoad { // An entry that has just started would send all new flows to the few agents that it has heard of.
-		n.sendState(ownState, []netip.AddrPort{state.Record.Control})
-	}
+	n.reportLoadIfNew(previous, p, ownState, state.Record.Control)
 	if fetch {
 		go n.fetch(from, state.ConfigVersion)
 	}
@@ -419,6 +415,23 @@
 	}
 }
 
+// reportLoadIfNew sends an agent's state to an entry whose peer has changed since it was previous, as the entry is new or has started
+// again: it would send all new flows to the few agents that it knows.
+func (n *Node) reportLoadIfNew(previous, current *peer, ownState ctrl.State, entry netip.AddrPort) {
+	if n.opts.Load != nil && current != previous {
+		n.sendState(ownState, []netip.AddrPort{entry})
+	}
+}
+
+// handleOwnRecord refutes a record of the node's own address and reports whether it is one. The caller holds the lock.
+func (n *Node) handleOwnRecord(r view.Record, now time.Time) bool {
+	if r.Packets != n.self.Packets {
+		return false
+	}
+	n.refute(r, now)
+	return true
+}
+
 // checkEra requests a read of the store, whose response has its era, if another process knows a higher era than this one. The caller
 // holds the lock.
 func (n *Node) checkEra(era uint64, now time.Time) {
