--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -13,7 +13,7 @@
 
 const (
 	// requiredServiceTimes is how many mean service times must be left until the objective for a request to count as
-	// timely, and until the deadline for one to be worth a slot that others wait for: a few requests take twice the mean, and one may
+	// timely, and until the deadline for one to take a slot that others wait for: a few requests take twice the mean, and one may
 	// wait in the server's own queue before.
 	requiredServiceTimes = 3
 	// maxOvertakes is how many timely requests in a row may overtake a late one, so that late requests don't starve.
