relay: a held or returned copy of a SYN doesn't move or reset a flow that another copy has opened

Change: a client's later packet and a claim end the wait; only a SYN that was sent to no agent is refused at its end, others are dropped; a claimed flow isn't placed again.

Tests: TestHeldSynOfFlowThatHasOpenedIsDropped, TestHeldSynThatWasSentBeforeIsNotRefused, TestReturnedSynOfClaimedFlowIsIgnored; each failed before.

--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -32,6 +32,8 @@
 	// packet is the client's packet, preceded by encap.HeaderSize bytes for an encap.Header.
 	packet []byte
 	since  time.Time
+	// sent is set if a copy of the SYN was sent to an agent, whose server may have accepted it.
+	sent bool
 }
 
 // openFlow sends a SYN to the agent chosen for the flow. A retransmission avoids the agent that left the previous SYN
@@ -100,7 +102,7 @@
 	r.counters.Add("open_returned", 1)
 	r.opts.Cluster.RecordRefusal(agent)
 	f := r.flows.Peek(key)
-	if f == nil || !f.openSince.IsZero() || r.held[key] != nil {
+	if f == nil || f.claimed || !f.openSince.IsZero() || r.held[key] != nil {
 		return
 	}
 	r.opts.Cluster.RecordRefusal(f.agent)
@@ -123,11 +125,11 @@
 		return
 	}
 	r.counters.Add("held", 1)
-	r.held[key] = &heldOpen{header: h, packet: slices.Clone(b), since: now}
+	r.held[key] = &heldOpen{header: h, packet: slices.Clone(b), since: now, sent: r.flows.Peek(key) != nil}
 }
 
-// releaseHeld sends the held SYNs to agents that accept new flows, the oldest first, and refuses those that have been held for
-// maxHoldTime.
+// releaseHeld sends the held SYNs to agents that accept new flows, the oldest first. Those that have been held for maxHoldTime are
+// refused, or dropped if a server may have accepted a copy.
 func (r *Relay) releaseHeld() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -145,7 +147,7 @@
 	}
 }
 
-// releaseOpen sends a held SYN to an agent, or refuses it if it has been held for too long or its route has gone.
+// releaseOpen sends a held SYN to an agent, or removes it if it has been held for too long or its route has gone.
 func (r *Relay) releaseOpen(key flow.Key, held *heldOpen, now time.Time) {
 	rt := r.opts.Cluster.Table().Lookup(held.header.Dst)
 	waited := now.Sub(held.since)
@@ -156,8 +158,10 @@
 		r.counters.Add("released", 1)
 	case waited >= maxHoldTime:
 		r.counters.Add("unserved", 1)
-		r.opts.FlowLog.Warn("no backend server for a new flow", zap.Stringer("flow", key), zap.String("route", rt.Name), zap.Duration("waited", waited))
-		r.reset(held.header)
+		r.opts.FlowLog.Warn("no backend server for a new flow", zap.Stringer("flow", key), zap.String("route", rt.Name), zap.Duration("waited", waited), zap.Bool("reset", !held.sent))
+		if !held.sent {
+			r.reset(held.header)
+		}
 	default:
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,8 +127,9 @@
 	// openSince is since when this entry has known that the flow is open: it sent a later packet than the SYN to the agent, or
 	// an agent reported the flow.
 	openSince time.Time
-	// refusals counts the agents that refused the SYN.
+	// refusals counts the agents that refused the SYN. claimed is set once an agent has claimed the flow.
 	refusals int
+	claimed  bool
 	// lifetimeRecorded is set once the flow is included in its route's lifetime estimate.
 	lifetimeRecorded bool
 	requests         pick.RequestCounter
@@ -231,6 +232,7 @@
 		r.openFlow(key, h, rt, b, now)
 		return
 	}
+	delete(r.held, key) // A server has accepted another copy of the SYN.
 	f := r.flows.Get(key, now)
 	if f == nil || r.opts.Cluster.Dead(f.agent) {
 		r.findHolder(key, h, rt, b, now)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -263,6 +263,50 @@
 	tr.Equal(len(tr.relay.held), 0)
 }
 
+// A slow server's response to the first SYN may open the flow while the entry holds a copy. The copy must neither be sent to another
+// agent nor end in a reset of the open flow.
+func TestHeldSynOfFlowThatHasOpenedIsDropped(t *testing.T) {
+	for _, open := range []func(*testRelay){
+		func(tr *testRelay) { tr.sendFromClient(3, ack) },
+		func(tr *testRelay) { tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.Claim}, key) },
+	} {
+		tr := newTestRelay(t)
+		agents := tr.cluster.agents
+		tr.sendFromClient(1, syn)
+		tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+		tr.cluster.agents = nil
+		tr.sendFromClient(2, flow.Header{Syn: true, AckNumber: 1})
+		tr.Equal(len(tr.relay.held), 1)
+		open(tr)
+		tr.Equal(len(tr.relay.held), 0)
+		tr.cluster.agents = agents[1:]
+		tr.relay.releaseHeld()
+		tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+	}
+}
+
+// A server may still respond to an earlier copy of the SYN, through another entry: only a SYN that was sent to no agent is refused.
+func TestHeldSynThatWasSentBeforeIsNotRefused(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, syn)
+	tr.cluster.agents = nil
+	tr.sendFromClient(2, flow.Header{Syn: true, AckNumber: 1})
+	tr.relay.held[key].since = time.Now().Add(-maxHoldTime)
+	tr.relay.releaseHeld()
+	tr.True(!tr.receivesReset())
+	tr.Equal(len(tr.relay.held), 0)
+}
+
+// A copy of the SYN that comes back after another server has accepted the flow must not move it, nor count as a refusal by that server.
+func TestReturnedSynOfClaimedFlowIsIgnored(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, syn)
+	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.Claim}, key)
+	tr.returnFromAgent(tr.agentA, 1)
+	tr.Equal(tr.cluster.refused, []netip.AddrPort{ptest.Addr(tr.agentA)})
+	tr.Equal(tr.relay.flows.Peek(key).agent, ptest.Addr(tr.agentB))
+}
+
 // While most servers of a service are down, the first choice and its fallback may both have crashed.
 func TestReturnedSynIsSentToAnotherAgent(t *testing.T) {
 	tr := newTestRelay(t)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -322,8 +322,9 @@
 		r.advance(key, s, now)
 	}
 	if f := r.flows.Get(key, now); f != nil {
-		f.agent, f.service = agent, service
+		f.agent, f.service, f.claimed = agent, service, true
 	}
+	delete(r.held, key)
 	r.counters.Add("claimed", 1)
 }
 
