relay: a search that goes on without its client relies on no earlier denials, and ends when the client opens a new flow

Change: such a search asks all agents again each time, and is removed if the entry has a new flow with its key.

Tests: TestSearchWithoutClientEndsWithNewFlow, and TestPausedSearchGoesOnWithoutClient, which now asks for new replies; both failed before.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -532,10 +532,30 @@
 	tr.True(!tr.receivesReset())
 	tr.cluster.isolated = false
 	tr.relay.resumeUnattended(key, s)
+	tr.Equal(len(tr.relay.searches), 1) // The agents are asked again: they may have learned more since.
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		tr.sendFromAgent(c, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
+	}
 	tr.True(tr.receivesReset())
 	tr.Equal(len(tr.relay.searches), 0)
 }
 
+// A client may open a new flow from the port of a lost one. What agents said of the old flow must not reset the new one.
+func TestSearchWithoutClientEndsWithNewFlow(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.isolated = true
+	tr.sendFromClient(1, ack)
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		tr.sendFromAgent(c, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held})
+	}
+	s := tr.relay.searches[key]
+	tr.sendFromClient(2, syn)
+	tr.cluster.isolated = false
+	tr.relay.resumeUnattended(key, s)
+	tr.True(!tr.receivesReset())
+	tr.Equal(len(tr.relay.searches), 0)
+}
+
 // A client's packet is sent to a server that may not hold its flow only when the client has just sent it.
 func TestSearchWithoutClientDoesNotProbe(t *testing.T) {
 	tr := newTestRelay(t)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -90,12 +90,18 @@
 	if r.searches[key] != s || !s.paused || s.expired(now) {
 		return
 	}
+	if r.flows.Peek(key) != nil {
+		r.removeSearch(key, s) // The client has opened a new flow from the same port.
+		return
+	}
 	if !r.opts.Cluster.AllAgentsKnown() {
 		r.scheduleResume(key, s)
 		return
 	}
+	rt := r.opts.Cluster.Table().Lookup(s.packetHeader.Dst)
 	s.unattended = true
-	r.resume(key, s, r.opts.Cluster.Table().Lookup(s.packetHeader.Dst), now)
+	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now) // No client's packet shows that the earlier verdicts still hold.
+	r.resume(key, s, rt, now)
 }
 
 // scheduleResume calls resumeUnattended after resumeInterval.
