review: case 2, added fronts reset open flows while leases are shorter than asked for

The lease calls of the store return the time to live that applies, which the processes ignore. Between the end of a short lease and its renewal a process isn't listed, and a front that is added with stale seeds takes the listed ones for all. Case 1 is now the clock step.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/review ] && [ -x target/bergamotrun ] || { echo "build the project and review/build.sh first"; exit 2; }
-exec target/review -case added-front -binary target/bergamotrun -record review/1/record.txt
+exec target/review -case clock-step -binary target/bergamotrun -record review/1/record.txt
--- a/review/added_front.go
+++ b/review/added_fronts.go
@@ -15,7 +15,7 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
-	"added-front": addedFront,
+	"added-fronts": addedFronts,
 }
 
 var (
@@ -101,15 +101,14 @@
 	}
 }
 
-// addedFront adds a front, planned work, some seconds after the store turned a third of the machines away and took their keys.
-// The seeds of the new front are of machines that are no longer there.
-func addedFront(d *deployment, trouble bool) (int, error) {
+// addedFronts adds a front to each zone, planned work, after a rolling restart. With trouble the store applies a shorter time to live to leases than
+// the processes ask for. The seeds of the new fronts are of machines that are no longer there.
+func addedFronts(d *deployment, trouble bool) (int, error) {
 	var mu sync.Mutex
 	var broken, strict int
 	var answered, failed atomic.Int64
 	d.onReset = func(by netip.Addr, client, service netip.AddrPort, open bool) {
-		holder := d.holder(client, service)
-		sender := d.machineAt(by)
+		holder, sender := d.holder(client, service), d.machineAt(by)
 		if !open || holder == nil || sender == nil {
 			d.record.printf("reset of %s by %v; open at the client: %v, held by a server: %v", client, by, open, holder != nil)
 			return
@@ -117,16 +116,20 @@
 		mu.Lock()
 		defer mu.Unlock()
 		broken++
-		inTouch := time.Since(sender.startedAt) >= stableWindow
+		inTouch := time.Since(sender.startedAt) >= stableWindow && time.Since(holder.startedAt) >= stableWindow
 		if inTouch {
 			strict++
 		}
-		d.record.printf("RULE BROKEN: %s resets the open flow %s, which the server of %s holds; the sender has run for %.1f s", sender.name, client, holder.name, time.Since(sender.startedAt).Seconds())
+		d.record.printf("RULE BROKEN: %s resets the open flow %s, which the server of %s holds; the processes have run for %.1f s and %.1f s",
+			sender.name, client, holder.name, time.Since(sender.startedAt).Seconds(), time.Since(holder.startedAt).Seconds())
 	}
+	if trouble {
+		d.maxLease = 10 * time.Second
+	}
+	d.record.printf("store: the longest time to live of leases is %s", d.maxLease)
 	if err := d.startAll("desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "intake", "intake", "intake"); err != nil {
 		return 0, err
 	}
-	start := d.sides[0].startedAt
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -135,41 +138,47 @@
 		if err != nil {
 			return 0, err
 		}
-		for j := range 20 {
-			n := 20*i + j
-			pause := 400 * time.Millisecond
+		for j := range 50 {
+			n := 50*i + j
+			pause := 700 * time.Millisecond
 			if n%2 == 0 {
 				pause = time.Duration(5000+100*(n%40)) * time.Millisecond
 			}
 			wg.Go(func() { d.keepFlow(ctx, c, n, pause, &answered, &failed) })
 		}
 	}
-	at := func(s float64) { time.Sleep(time.Until(start.Add(time.Duration(s * float64(time.Second))))) }
-	at(15.8)
-	affected := d.sides[:5]
-	if trouble {
-		d.record.printf("store: turns %s away (503) and takes their keys", names(affected))
-		d.setAccess(accessBusy, affected...)
-		for _, m := range affected {
-			d.revoke(m)
+	time.Sleep(2 * time.Second)
+	d.record.printf("planned: rolling restart")
+	var rolls sync.WaitGroup
+	rolls.Go(func() {
+		for _, m := range d.sides[:12] {
+			if err := d.roll(m); err != nil {
+				d.record.printf("%s: %v", m.name, err)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	rolls.Go(func() {
+		for _, m := range d.fronts[:3] {
+			if err := d.roll(m); err != nil {
+				d.record.printf("%s: %v", m.name, err)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+	})
+	rolls.Wait()
+	time.Sleep(5 * time.Second)
+	for _, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		m, err := d.addMachine("relay", zone, "", []netip.Addr{d.ip(9, 1), d.ip(9, 2), d.ip(9, 3)})
+		if err != nil {
+			return 0, err
+		}
+		d.record.printf("planned: %s is added; the store lists %d processes", m.name, len(d.store.Keys("bergamotrun/process/")))
+		if err := d.startProcess(m); err != nil {
+			return 0, err
 		}
 	}
-	at(17.8)
-	if trouble {
-		d.setAccess(accessOpen, affected...)
-		d.record.printf("store: serves all machines again")
-	}
-	at(22.3)
-	gone := []netip.Addr{d.ip(9, 1), d.ip(9, 2), d.ip(9, 3)}
-	m, err := d.addMachine("relay", "zone-a", "", gone)
-	if err != nil {
-		return 0, err
-	}
-	d.record.printf("planned: %s is added", m.name)
-	if err := d.startProcess(m); err != nil {
-		return 0, err
-	}
-	at(32)
+	time.Sleep(10 * time.Second)
 	cancel()
 	wg.Wait()
 	mu.Lock()
