--- a/review/added_fronts.go
+++ b/review/added_fronts.go
@@ -55,7 +55,7 @@
 		}
 	}
 	for _, m := range d.sides {
-		if _, err := d.startServer(m, 20*time.Millisecond); err != nil {
+		if _, err := d.startServer(m, d.serviceTime); err != nil {
 			return err
 		}
 	}
--- a/review/clock_step.go
+++ b/review/clock_step.go
@@ -31,7 +31,7 @@
 			return
 		}
 		var fields map[string]any
-		if json.Unmarshal(body, &fields) == nil {
+		if json.Unmarshal(body, &fields) == nil && fields != nil {
 			fields["coldRemainingMs"] = max(0, time.Until(startedAt.Add(coldTime)).Milliseconds())
 			if body, err = json.Marshal(fields); err != nil {
 				return
--- a/review/harness.go
+++ b/review/harness.go
@@ -114,11 +114,13 @@
 	store   *fakes.Store
 	// maxLease is the longest time to live that the store applies to leases; 0 means ten minutes.
 	maxLease time.Duration
-	fronts   []*machine
-	sides    []*machine
-	clients  []*fakes.Client
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// serviceTime is the service time of requests.
+	serviceTime time.Duration
+	fronts      []*machine
+	sides       []*machine
+	clients     []*fakes.Client
+	ctx         context.Context
+	cancel      context.CancelFunc
 
 	mu       sync.Mutex
 	servers  map[*machine]*fakes.Server
@@ -141,7 +143,7 @@
 	}
 	d := &deployment{
 		record: rec, dir: dir, binary: binary, store: fakes.NewStore(), servers: make(map[*machine]*fakes.Server),
-		failures: make(map[*machine]int),
+		failures: make(map[*machine]int), serviceTime: 20 * time.Millisecond,
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	start := byte(30 + os.Getpid()%200)
