--- a/review/leaving_target.go
+++ b/review/leaving_target.go
@@ -36,7 +36,7 @@
 		d.record.printf("RULE BROKEN: %s resets the open flow %s, which the server of %s holds", sender.name, client, holder.name)
 	}
 	d.serviceTime = 120 * time.Millisecond
-	if err := d.startAll("desk", "desk", "desk", "intake", "intake"); err != nil {
+	if err := d.startAll("desk", "desk", "desk", "desk", "desk", "intake", "intake", "intake"); err != nil {
 		return 0, err
 	}
 	time.Sleep(2 * time.Second)
@@ -49,7 +49,7 @@
 		return 0, err
 	}
 	var flows []*fakes.Flow
-	for range 60 {
+	for range 80 {
 		f, err := c.Open(d.ctx, boardAddress)
 		if err != nil {
 			return 0, err
