--- a/review/added_fronts.go
+++ b/review/added_fronts.go
@@ -130,6 +130,7 @@
 	if err := d.startAll("desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "desk", "intake", "intake", "intake"); err != nil {
 		return 0, err
 	}
+	time.Sleep(2 * time.Second) // All servers have sent heartbeats.
 	ctx, cancel := context.WithCancel(d.ctx)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -144,6 +145,7 @@
 			if n%2 == 0 {
 				pause = time.Duration(5000+100*(n%40)) * time.Millisecond
 			}
+			time.Sleep(10 * time.Millisecond)
 			wg.Go(func() { d.keepFlow(ctx, c, n, pause, &answered, &failed) })
 		}
 	}
