review: the cases' code no longer names the platform's calls and fields

The relay of heartbeats now passes on what the project's stand-in sends, with the remaining cold time replaced, and sends the notice to the path of the heartbeats; the store's listeners for single machines, which no case used any more, are gone.

--- a/review/clock_step.go
+++ b/review/clock_step.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -22,43 +24,78 @@
 // coldTime is how long a server is slow after its start, and says so in its heartbeats.
 const coldTime = 2 * time.Second
 
-// relayHeartbeats passes the heartbeats of a server that started at startedAt on to its agent, with the remaining time in which the
-// server is slow. The server's own clock only enters the field born.
-func relayHeartbeats(ctx context.Context, listen, agent netip.AddrPort, startedAt time.Time) error {
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
+// heartbeatRelay passes the calls of a server on to its agent.
+type heartbeatRelay struct {
+	agent netip.AddrPort
+	// coldUntil is until when the server is slow; the relay puts the remaining time into the heartbeats.
+	coldUntil time.Time
+
+	mu sync.Mutex
+	// path is the path of the server's latest call.
+	path string
+}
+
+// startHeartbeatRelay starts a relay at listen for a server beside the agent at agent.
+func startHeartbeatRelay(ctx context.Context, listen, agent netip.AddrPort, coldUntil time.Time) (*heartbeatRelay, error) {
+	h := &heartbeatRelay{agent: agent, coldUntil: coldUntil}
+	ln, err := net.Listen("tcp4", listen.String())
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(ln) }()
+	go func() { <-ctx.Done(); _ = server.Close() }()
+	return h, nil
+}
+
+// ServeHTTP passes a call on. In heartbeats it replaces the remaining cold time, which the project's stand-in leaves at 0.
+func (h *heartbeatRelay) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mu.Lock()
+	h.path = r.URL.Path
+	h.mu.Unlock()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	var fields map[string]any
+	if json.Unmarshal(body, &fields) == nil {
+		for name := range fields {
+			if strings.HasPrefix(name, "cold") {
+				fields[name] = max(0, time.Until(h.coldUntil).Milliseconds())
+			}
 		}
-		var fields map[string]any
-		if json.Unmarshal(body, &fields) == nil && fields != nil {
-			fields["coldRemainingMs"] = max(0, time.Until(startedAt.Add(coldTime)).Milliseconds())
+		if fields != nil {
 			if body, err = json.Marshal(fields); err != nil {
 				return
 			}
 		}
-		req, err := http.NewRequestWithContext(r.Context(), r.Method, "http://"+agent.String()+r.URL.Path, bytes.NewReader(body))
-		if err != nil {
-			return
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			w.WriteHeader(http.StatusBadGateway)
-			return
-		}
-		_ = resp.Body.Close()
-		w.WriteHeader(resp.StatusCode)
-	})
-	server := &http.Server{Addr: listen.String(), Handler: handler, ReadHeaderTimeout: time.Second}
-	go func() { <-ctx.Done(); _ = server.Close() }()
-	errs := make(chan error, 1)
-	go func() { errs <- server.ListenAndServe() }()
-	select {
-	case err := <-errs:
-		return err
-	case <-time.After(20 * time.Millisecond):
-		return nil
 	}
+	status, err := h.call(r.Context(), r.Method, r.URL.Path, body)
+	if err != nil {
+		status = http.StatusBadGateway
+	}
+	w.WriteHeader(status)
+}
+
+// call sends the agent a call and returns the status of the response.
+func (h *heartbeatRelay) call(ctx context.Context, method, path string, body []byte) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+h.agent.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, resp.Body.Close()
+}
+
+// sendNotice sends the server's shutdown notice, to the path of its heartbeats.
+func (h *heartbeatRelay) sendNotice(ctx context.Context) (int, error) {
+	h.mu.Lock()
+	path := h.path
+	h.mu.Unlock()
+	return h.call(ctx, http.MethodDelete, path, nil)
 }
 
 // clockStep starts a server, planned work, while the clock of its machine is ahead; the clock jumps back, and the process of the project
@@ -102,7 +139,7 @@
 	start := time.Now()
 	at := func(s float64) { time.Sleep(time.Until(start.Add(time.Duration(s * float64(time.Second))))) }
 	heartbeats := netip.AddrPortFrom(d.ip(4, 1), portAnnounce)
-	if err := relayHeartbeats(d.ctx, heartbeats, netip.AddrPortFrom(m.ip, portAnnounce), start); err != nil {
+	if _, err := startHeartbeatRelay(d.ctx, heartbeats, netip.AddrPortFrom(m.ip, portAnnounce), start.Add(coldTime)); err != nil {
 		return 0, err
 	}
 	s, err := fakes.StartServer(fakes.ServerOptions{
--- a/review/harness.go
+++ b/review/harness.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -75,24 +76,13 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// storeAccess is a machine's access to the store.
-type storeAccess int
-
-const (
-	accessOpen storeAccess = iota
-	// accessSilent leaves the machine's calls without an answer.
-	accessSilent
-	// accessBusy answers the machine's calls with 503.
-	accessBusy
-)
-
 // machine is one machine of the deployment with its process of the project.
 type machine struct {
 	name, role, zone, service string
 	ip                        netip.Addr
 	seeds                     []netip.Addr
 	dir, binary               string
-	storeListener             net.Listener
+	store                     net.Addr
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -100,8 +90,6 @@
 	startedAt time.Time
 	// disturbedAt is the last start, signal or disruption of the machine.
 	disturbedAt time.Time
-	access      storeAccess
-	accessEnds  chan struct{}
 	first       bool
 }
 
@@ -112,19 +100,22 @@
 	binary  string
 	network byte
 	store   *fakes.Store
+	// storeAddress is the address of the store.
+	storeAddress net.Addr
 	// maxLease is the longest time to live that the store applies to leases; 0 means ten minutes.
 	maxLease time.Duration
 	// serviceTime is the service time of requests.
 	serviceTime time.Duration
-	fronts      []*machine
-	sides       []*machine
-	clients     []*fakes.Client
-	ctx         context.Context
-	cancel      context.CancelFunc
+	// heartbeatRelays are the relays of the servers' heartbeats by their machines. If the map is nil, servers call their agents.
+	heartbeatRelays map[*machine]*heartbeatRelay
+	fronts          []*machine
+	sides           []*machine
+	clients         []*fakes.Client
+	ctx             context.Context
+	cancel          context.CancelFunc
 
 	mu       sync.Mutex
 	servers  map[*machine]*fakes.Server
-	former   []*fakes.Server
 	rotation []*machine
 	failures map[*machine]int
 	nextID   int
@@ -151,7 +142,10 @@
 		d.network = 20 + (start-20+i)%230
 		ln, err := net.Listen("tcp4", netip.AddrPortFrom(d.ip(0, 1), portStore).String())
 		if err == nil {
-			go func() { <-d.ctx.Done(); _ = ln.Close() }()
+			d.storeAddress = ln.Addr()
+			server := &http.Server{Handler: http.HandlerFunc(d.serveStore), ReadHeaderTimeout: time.Second}
+			go func() { _ = server.Serve(ln) }()
+			go func() { <-d.ctx.Done(); _ = server.Close() }()
 			return d, nil
 		}
 	}
@@ -160,7 +154,7 @@
 
 // addMachine prepares a machine; startProcess starts its process.
 func (d *deployment) addMachine(role, zone, service string, seeds []netip.Addr) (*machine, error) {
-	m := &machine{role: role, zone: zone, service: service, seeds: seeds, dir: d.dir, binary: d.binary, accessEnds: make(chan struct{})}
+	m := &machine{role: role, zone: zone, service: service, seeds: seeds, dir: d.dir, binary: d.binary, store: d.storeAddress}
 	if role == "relay" {
 		d.mu.Lock()
 		d.fronts = append(d.fronts, m)
@@ -174,76 +168,39 @@
 		d.mu.Unlock()
 		m.name, m.ip = fmt.Sprintf("side-%d", n), d.ip(2, byte(n))
 	}
-	// The machine's calls reach the store through a listener of its own, so that the store can treat machines differently.
-	ln, err := net.Listen("tcp4", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, d.network, 10 + m.ip.As4()[2], m.ip.As4()[3]}), portStore).String())
-	if err != nil {
-		return nil, err
-	}
-	m.storeListener = ln
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serveStore(m, w, r) }), ReadHeaderTimeout: time.Second}
-	go func() { _ = server.Serve(ln) }()
-	go func() { <-d.ctx.Done(); _ = server.Close() }()
 	return m, nil
 }
 
-// serveStore serves a call of a machine to the store, or treats it as the machine's access says.
-func (d *deployment) serveStore(m *machine, w http.ResponseWriter, r *http.Request) {
-	m.mu.Lock()
-	access, ends := m.access, m.accessEnds
-	m.mu.Unlock()
-	switch access {
-	case accessSilent:
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	case accessBusy:
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
-	}
-	time.Sleep(4 * time.Millisecond)
-	if r.URL.Path == "/api/kv-lease" && d.maxLease > 0 {
+// storeTime is the time that the store takes for an answer.
+const storeTime = 4 * time.Millisecond
+
+// serveStore serves a call to the store.
+func (d *deployment) serveStore(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(storeTime)
+	if d.maxLease > 0 && r.Method == http.MethodPost {
 		r = capLease(r, d.maxLease)
 	}
-	if strings.HasSuffix(r.URL.Path, "/kv-watch") { // A watch that is waiting when the access ends gets no response.
-		ctx, cancel := context.WithCancel(r.Context())
-		defer cancel()
-		go func() {
-			select {
-			case <-ends:
-				cancel()
-			case <-ctx.Done():
-			}
-		}()
-		r = r.WithContext(ctx)
-	}
 	d.store.ServeHTTP(w, r)
 }
 
-// capLease returns the request for a lease with at most max as its time to live, which the store then applies and returns.
-func capLease(r *http.Request, max time.Duration) *http.Request {
-	var body struct {
-		TTL int64 `json:"ttlMs"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+// capLease returns the request for a lease with at most limit as its time to live, which the store then applies and returns. Only the body
+// of such a request has a single field, a number of milliseconds; other requests are returned as they are.
+func capLease(r *http.Request, limit time.Duration) *http.Request {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return r
 	}
-	capped := fmt.Sprintf(`{"ttlMs":%d}`, min(body.TTL, max.Milliseconds()))
-	r = r.Clone(r.Context())
-	r.Body = io.NopCloser(strings.NewReader(capped))
-	return r
-}
-
-// setAccess changes how the store treats the calls of machines.
-func (d *deployment) setAccess(access storeAccess, machines ...*machine) {
-	for _, m := range machines {
-		m.mu.Lock()
-		m.access = access
-		m.disturbedAt = time.Now()
-		if access != accessOpen {
-			close(m.accessEnds)
-			m.accessEnds = make(chan struct{})
+	var fields map[string]any
+	if json.Unmarshal(body, &fields) == nil && len(fields) == 1 {
+		for name, value := range fields {
+			if ms, ok := value.(float64); ok && int64(ms) > limit.Milliseconds() {
+				body = fmt.Appendf(nil, "{%q:%d}", name, limit.Milliseconds())
+			}
 		}
-		m.mu.Unlock()
 	}
+	r = r.Clone(r.Context())
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return r
 }
 
 // settings returns the settings of a machine's process, with the fields of the templates in deploy/.
@@ -260,7 +217,7 @@
 	if m.role == "deliver" {
 		fmt.Fprintf(&b, "outbound = %q\nserver = %q\nservice = %q\nheartbeat = %q\n", addr(portOutbound), addr(portServer), m.service, heartbeatInterval)
 	}
-	fmt.Fprintf(&b, "store = %q\napply = %q\nstop = %q\n", m.storeListener.Addr(), configApply, gracePeriod)
+	fmt.Fprintf(&b, "store = %q\napply = %q\nstop = %q\n", m.store, configApply, gracePeriod)
 	if m.first {
 		b.WriteString("first = true\n")
 	}
@@ -322,18 +279,24 @@
 	d.nextID++
 	id := fmt.Sprintf("i-%04d", d.nextID)
 	d.mu.Unlock()
+	heartbeats := netip.AddrPortFrom(m.ip, portAnnounce)
+	if d.heartbeatRelays != nil {
+		listen := netip.AddrPortFrom(d.ip(4, m.ip.As4()[3]), portAnnounce)
+		relay, err := startHeartbeatRelay(d.ctx, listen, heartbeats, time.Now())
+		if err != nil {
+			return nil, err
+		}
+		d.heartbeatRelays[m], heartbeats = relay, listen
+	}
 	s, err := fakes.StartServer(fakes.ServerOptions{
 		ID: id, Service: m.service, Domain: m.zone, Address: netip.AddrPortFrom(m.ip, portServer),
-		Outbound: netip.AddrPortFrom(m.ip, portOutbound), Heartbeats: netip.AddrPortFrom(m.ip, portAnnounce),
+		Outbound: netip.AddrPortFrom(m.ip, portOutbound), Heartbeats: heartbeats,
 		Slots: 4, ServiceTime: func(string) time.Duration { return serviceTime }, HeartbeatInterval: heartbeatInterval, Watcher: d,
 	})
 	if err != nil {
 		return nil, err
 	}
 	d.mu.Lock()
-	if old := d.servers[m]; old != nil {
-		d.former = append(d.former, old)
-	}
 	d.servers[m] = s
 	d.mu.Unlock()
 	d.record.printf("%s: server %s of %s started", m.name, id, m.service)
@@ -439,14 +402,6 @@
 	return netip.AddrPortFrom(d.rotation[hash%len(d.rotation)].ip, portClients), true
 }
 
-// frontOf returns the front that the routers currently choose for a flow.
-func (d *deployment) frontOf(client, service netip.AddrPort) *machine {
-	if to, ok := d.entryFor(client, service); ok {
-		return d.machineAt(to.Addr())
-	}
-	return nil
-}
-
 func (d *deployment) newClient() (*fakes.Client, error) {
 	c, err := fakes.NewClient(fakes.ClientOptions{
 		Address: netip.AddrPortFrom(d.ip(3, byte(len(d.clients)+1)), portClients), EntryFor: d.entryFor, Watcher: d,
--- a/review/leaving_target.go
+++ b/review/leaving_target.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -35,7 +34,7 @@
 		broken++
 		d.record.printf("RULE BROKEN: %s resets the open flow %s, which the server of %s holds", sender.name, client, holder.name)
 	}
-	d.serviceTime = 120 * time.Millisecond
+	d.serviceTime, d.heartbeatRelays = 120*time.Millisecond, make(map[*machine]*heartbeatRelay)
 	if err := d.startAll("desk", "desk", "desk", "desk", "desk", "intake", "intake", "intake"); err != nil {
 		return 0, err
 	}
@@ -89,7 +88,7 @@
 	}
 	time.Sleep(20 * time.Millisecond)
 	if trouble {
-		if err := d.leave(leaving, server); err != nil {
+		if err := d.leave(leaving, server, d.heartbeatRelays[leaving]); err != nil {
 			return 0, err
 		}
 	}
@@ -124,19 +123,13 @@
 }
 
 // leave sends the server's notice, and ends the server after exitTime.
-func (d *deployment) leave(m *machine, server *fakes.Server) error {
-	req, err := http.NewRequestWithContext(d.ctx, http.MethodDelete,
-		"http://"+netip.AddrPortFrom(m.ip, portAnnounce).String()+"/api/instances/"+server.ID(), nil)
-	if err != nil {
-		return err
-	}
+func (d *deployment) leave(m *machine, server *fakes.Server, relay *heartbeatRelay) error {
 	d.record.printf("%s: server %s sends its notice", m.name, server.ID())
-	resp, err := http.DefaultClient.Do(req)
+	status, err := relay.sendNotice(d.ctx)
 	if err != nil {
 		return err
 	}
-	_ = resp.Body.Close()
-	d.record.printf("%s: the notice is acknowledged with %d", m.name, resp.StatusCode)
+	d.record.printf("%s: the notice is acknowledged with %d", m.name, status)
 	time.Sleep(exitTime)
 	server.Stop(false)
 	d.record.printf("%s: server %s has exited", m.name, server.ID())
