--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -137,9 +137,8 @@
 // New returns an agent and registers its metrics in opts.Vars.
 func New(opts Options) *Agent {
 	now := time.Now()
-	serverOpts := server.Options{Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval}
-	if !opts.FirstStart {
-		serverOpts.ObservedSince = now
+	serverOpts := server.Options{
+		Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval, ObservedSince: now,
 	}
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(now.UnixNano()),
@@ -239,37 +238,53 @@
 }
 
 // HandleHeartbeat processes a heartbeat of the backend server. A certain restart of the server resets the flows of its
-// earlier start.
-func (a *Agent) HandleHeartbeat(hb server.Heartbeat) error {
+// earlier start. It reports whether ConfirmSender is to be called.
+func (a *Agent) HandleHeartbeat(hb server.Heartbeat) (confirm bool, err error) {
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.compensatePause(now)
-	restarts := a.server.Restarts()
+	wasSettled := a.server.Settled()
 	change, err := a.server.RecordHeartbeat(hb, now)
 	if err != nil {
-		return err
+		return false, err
 	}
 	if change == server.ChangeStarted {
-		restarted := a.server.Restarts() != restarts
-		if restarted || hb.IsNew(now, a.opts.HeartbeatInterval) || hb.StartedSince(a.startedAt, now, a.opts.HeartbeatInterval) {
-			a.tableCompleteAt = now // The agent has seen all packets of this start of the server.
-		}
-		a.keepFlowsSince(hb.EarliestStart(now, a.opts.HeartbeatInterval))
-		a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 		select {
 		case a.serverStarted <- struct{}{}:
 		default:
 		}
 	}
+	if !wasSettled && a.server.Settled() {
+		a.handleSettledStart(now)
+	}
 	if change != server.ChangeNone {
 		a.opts.Log.Info("backend server changed", zap.String("id", hb.ID), zap.Stringer("change", change),
 			zap.String("service", hb.Service), zap.Uint64("sequence", hb.Sequence), zap.Time("born", hb.StartedAt),
 			zap.Duration("cold", hb.ColdRemaining), zap.Int("slots", hb.Slots), zap.Int("restarts", a.server.Restarts()),
-			zap.Duration("agent_up", now.Sub(a.startedAt)), zap.Bool("table_complete", a.tableComplete(now)))
+			zap.Duration("agent_up", now.Sub(a.startedAt)), zap.Bool("table_complete", a.tableComplete(now)),
+			zap.Bool("settled", a.server.Settled()), zap.Duration("max_age", now.Sub(a.server.EarliestStart())))
 	}
 	a.updateReadiness(now)
-	return nil
+	return change == server.ChangeStarted, nil
+}
+
+// ConfirmSender records that the sender of a heartbeat is running.
+func (a *Agent) ConfirmSender(hb server.Heartbeat) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.server.Confirm(hb)
+}
+
+// handleSettledStart resets the flows that the server has lost by a restart, once its start is certainly the one that is running. If
+// the agent has run since before the server started, it has seen all packets of the server, and its table is complete.
+func (a *Agent) handleSettledStart(now time.Time) {
+	start := a.server.EarliestStart().Add(-a.pausedFor) // The heartbeat may have been queued during a pause.
+	if start.After(a.incompleteSince) && now.Before(a.tableCompleteAt) {
+		a.tableCompleteAt = now
+	}
+	a.keepFlowsSince(start)
+	a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 }
 
 // HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -96,7 +96,31 @@
 	if change != nil {
 		change(&hb)
 	}
-	env.NoErr(env.agent.HandleHeartbeat(hb))
+	_, err := env.agent.HandleHeartbeat(hb)
+	env.NoErr(err)
+}
+
+// receiveRestart passes the heartbeats of a restarted server to the agent, modified by change, until its start is settled. The server has
+// sent as many heartbeats as it can at most have sent in the time since the restart.
+func (env *testEnv) receiveRestart(change func(*server.Heartbeat)) {
+	env.Helper()
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 1; change(hb) })
+	env.settle(func(hb *server.Heartbeat) { hb.Sequence = 2; change(hb) })
+}
+
+// settle passes a further heartbeat to the agent after a time in which no other start of the server sent one.
+func (env *testEnv) settle(change func(*server.Heartbeat)) {
+	env.Helper()
+	env.agent.server.CompensatePause(-10 * time.Second)
+	env.receiveHeartbeat(change)
+	env.True(env.agent.server.Settled())
+}
+
+// ageFlows makes the flows in the agent's table older.
+func (env *testEnv) ageFlows(by time.Duration) {
+	env.agent.mu.Lock()
+	defer env.agent.mu.Unlock()
+	env.agent.flows.Each(func(_ flow.Key, f *flowState) { f.firstSeen = f.firstSeen.Add(-by) })
 }
 
 // receiveDatagram passes a datagram of the entry to the agent. id identifies the packet, which has header h.
@@ -256,7 +280,8 @@
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 4, request)
 	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
 	env.Equal(env.verdict(), seek.Held)
-	env.receiveHeartbeat(func(a *server.Heartbeat) { a.ID, a.StartedAt = "i-2", time.Now() })
+	env.ageFlows(time.Minute)
+	env.receiveRestart(func(a *server.Heartbeat) { a.ID, a.StartedAt = "i-2", startedAt.Add(time.Minute) })
 	env.Equal(env.verdict(), seek.Denied) // The server has restarted.
 }
 
@@ -446,20 +471,26 @@
 
 	restarted := newTestEnv(t, false)
 	restarted.store.list = env.store.list
-	restarted.receiveHeartbeat(func(a *server.Heartbeat) { a.StartedAt = startedAt.Add(time.Second) })
+	later := func(a *server.Heartbeat) { a.StartedAt = startedAt.Add(time.Second) }
+	restarted.agent.incompleteSince = restarted.agent.incompleteSince.Add(-time.Minute)
+	restarted.receiveRestart(later)
 	restarted.agent.loadFlowList(context.Background())
 	restarted.Equal(restarted.verdict(), seek.Denied)
 	restarted.Equal(restarted.read(restarted.client), []byte{'R', 50}) // The flow was lost with that start.
 }
 
-// A restart of the server must reset the clients of all its flows at once, also of idle ones.
+// A restart of the server must reset the clients of all its flows as soon as it is certain, also of idle ones.
 func TestServerRestartResetsClients(t *testing.T) {
 	env := newTestEnv(t, true)
 	env.receiveHeartbeat(nil)
 	env.openFlow()
 	env.receiveFromServer(5, flow.Header{Ack: true, Seq: 7, Len: 50})
 	env.Equal(env.read(env.client), []byte{5})
-	env.receiveHeartbeat(func(a *server.Heartbeat) { a.ID, a.StartedAt = "i-2", time.Now() })
+	env.ageFlows(time.Minute)
+	restart := func(a *server.Heartbeat) { a.ID, a.Sequence, a.StartedAt = "i-2", 1, startedAt.Add(time.Minute) }
+	env.receiveHeartbeat(restart)
+	env.Equal(env.read(env.client), nil) // It may be a delayed heartbeat.
+	env.settle(func(a *server.Heartbeat) { restart(a); a.Sequence = 2 })
 	env.Equal(env.read(env.client), []byte{'R', 57})
 }
 
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -202,8 +202,8 @@
 	defer a.mu.Unlock()
 	a.stopping = a.stopping || final
 	hb, known := a.server.LastHeartbeat()
-	if !known || !a.mayReplaceList {
-		return nil, false
+	if !known || !a.mayReplaceList || a.server.Ambiguous() {
+		return nil, false // The list would name the wrong start of the server.
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
 	listed, unsaved := a.collectFlows(&s, final, now)
@@ -288,8 +288,8 @@
 	}
 }
 
-// tryRestore restores the flows of a list, or resets them if the server has started again since. It returns false as long
-// as no heartbeat of the list's start of the server, or of a later one, has come.
+// tryRestore restores the flows of a list, or resets them if another start of the server than the list's is certainly running. It
+// returns false as long as neither is known.
 func (a *Agent) tryRestore(s savedFlowList) bool {
 	now := time.Now()
 	a.mu.Lock()
@@ -305,7 +305,8 @@
 		return true
 	}
 	sameStart := hb.ID == s.ServerID && hb.StartedAt.UnixNano() == s.ServerStartedAt
-	if !sameStart && hb.StartedAt.UnixNano() <= s.ServerStartedAt {
+	isLater := a.server.Confirmed() && hb.StartedAt.UnixNano() > s.ServerStartedAt
+	if !sameStart && !isLater && !a.server.Settled() {
 		return false // The heartbeat may be a delayed one, and the list of the running server.
 	}
 	if !sameStart {
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -20,31 +20,178 @@
 // comes: entries would reset these flows.
 func TestLateFirstHeartbeatDoesNotCompleteTable(t *testing.T) {
 	env := newTestEnv(t, false)
-	env.agent.startedAt = env.agent.startedAt.Add(-5 * time.Second)
+	env.startedBefore(5 * time.Second)
 	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
 	env.Equal(env.verdict(), seek.Perhaps)
+	env.settle(func(hb *server.Heartbeat) { hb.Sequence = 31 })
+	env.Equal(env.verdict(), seek.Perhaps)
 }
 
 // After the wall clock was set back, a server that is older than the agent looks younger. Its sequence number must keep the
 // agent from denying its flows.
 func TestClockStepDoesNotCompleteTable(t *testing.T) {
 	env := newTestEnv(t, false)
-	env.agent.startedAt = env.agent.startedAt.Add(-5 * time.Second)
-	env.receiveHeartbeat(func(hb *server.Heartbeat) {
-		hb.Sequence, hb.StartedAt = 30, time.Now().Add(-time.Second)
-	})
+	env.startedBefore(5 * time.Second)
+	younger := time.Now().Add(-time.Second)
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 30, younger })
+	env.Equal(env.verdict(), seek.Perhaps)
+	env.settle(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 31, younger })
 	env.Equal(env.verdict(), seek.Perhaps)
 }
 
+// startedBefore makes the agent older.
+func (env *testEnv) startedBefore(d time.Duration) {
+	env.agent.startedAt, env.agent.incompleteSince = env.agent.startedAt.Add(-d), env.agent.incompleteSince.Add(-d)
+}
+
+// Guards against the reset of all open flows of a new server: its clock was set back between its start and that of its agent, which
+// was killed and took the server, by its start time and its remaining cold time, for one that no agent had acknowledged before.
+func TestServerIsNotNewByItsStartTime(t *testing.T) {
+	for _, sequence := range []uint64{2, 3, 5} {
+		for _, ahead := range []time.Duration{-time.Minute, -700 * time.Millisecond, -time.Millisecond, 0, 500 * time.Millisecond, time.Minute} {
+			for _, cold := range []time.Duration{0, time.Millisecond, 2 * time.Second, time.Minute} {
+				env := newTestEnv(t, false)
+				start := time.Now().Add(ahead)
+				change := func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt, hb.ColdRemaining = sequence, start, cold }
+				env.receiveHeartbeat(change)
+				env.Equal(env.verdict(), seek.Perhaps)
+				env.settle(func(hb *server.Heartbeat) { change(hb); hb.Sequence++ })
+				env.Equal(env.verdict(), seek.Perhaps)
+			}
+		}
+	}
+}
+
 // An agent that has run since before its server started knows all flows of the server. It must deny others, or entries
-// would probe the server for them.
+// would probe the server for them. The server's clock doesn't matter.
 func TestServerStartedAfterAgentCompletesTable(t *testing.T) {
+	for _, ahead := range []time.Duration{-time.Hour, -time.Second, time.Hour} {
+		env := newTestEnv(t, false)
+		env.startedBefore(9 * time.Second)
+		start := time.Now().Add(ahead)
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 2, start })
+		env.settle(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 3, start })
+		env.Equal(env.verdict(), seek.Denied)
+	}
+}
+
+// A pause of the agent's process must not make its server look younger: the first heartbeat may have been queued meanwhile.
+func TestHeartbeatQueuedInPauseDoesNotCompleteTable(t *testing.T) {
 	env := newTestEnv(t, false)
-	env.agent.startedAt = env.agent.startedAt.Add(-5 * time.Second)
-	env.receiveHeartbeat(func(hb *server.Heartbeat) {
-		hb.Sequence, hb.StartedAt = 1, time.Now().Add(-time.Second)
-	})
-	env.Equal(env.verdict(), seek.Denied)
+	env.startedBefore(9 * time.Second)
+	env.agent.lastRunAt = env.agent.lastRunAt.Add(-4 * time.Second)
+	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 2 })
+	env.settle(func(hb *server.Heartbeat) { hb.Sequence = 3 })
+	env.Equal(env.verdict(), seek.Perhaps)
+}
+
+// Guards against the reset of flows by the order of start times: the clock was set back between two starts of the server, and a delayed
+// heartbeat of the first one looks like that of a restart.
+func TestDelayedHeartbeatWithLaterStartTimeKeepsFlows(t *testing.T) {
+	for _, firstStart := range []bool{true, false} {
+		env := newTestEnv(t, firstStart)
+		env.receiveHeartbeat(nil)
+		env.openFlow()
+		env.receiveFromServer(4, ack)
+		env.Equal(env.read(env.client), []byte{4})
+		env.ageFlows(time.Minute)
+		env.agent.server.CompensatePause(-2 * time.Second)
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.Sequence, hb.StartedAt = "i-0", 1, time.Now().Add(time.Minute) })
+		env.Equal(env.verdict(), seek.Held)
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 60 })
+		env.settle(func(hb *server.Heartbeat) { hb.Sequence = 61 })
+		env.Equal(env.verdict(), seek.Held)
+		env.Equal(env.read(env.client), nil) // No reset.
+	}
+}
+
+// Guards against the reset of flows that a server opened before the first heartbeat of its new start, while its clock was ahead: its start
+// time is later than the flows then.
+func TestRestartWithClockAheadKeepsFlowsOfNewStart(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(4, ack)
+	env.Equal(env.read(env.client), []byte{4})
+	env.receiveRestart(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", startedAt.Add(100*365*24*time.Hour) })
+	env.Equal(env.verdict(), seek.Held)
+	env.Equal(env.read(env.client), nil) // No reset.
+}
+
+// Guards against the reset of all flows in a saved list by the order of start times: the first heartbeat after the agent's restart is a
+// delayed one, of an earlier start whose clock was ahead.
+func TestSavedListOfEarlierStartTimeIsNotReset(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.agent.SaveFlowList()
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+
+	successor := newTestEnv(t, false)
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.Sequence, hb.StartedAt = "i-0", 1, startedAt.Add(time.Minute) })
+	successor.True(!successor.agent.tryRestore(saved))
+	successor.Equal(successor.read(successor.client), nil)
+	_, save := successor.agent.encodeFlowList(true)
+	successor.True(!save) // The list would replace that of the running server.
+	successor.agent.server.CompensatePause(-10 * time.Second)
+	successor.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence = 30 })
+	successor.True(successor.agent.tryRestore(saved))
+	successor.Equal(successor.verdict(), seek.Held)
+	successor.Equal(successor.read(successor.client), nil)
+}
+
+// Load pattern: all machines lose power while requests run. Guards against clients that learn too late for another try that their flows
+// are lost: a server that is running, by its connection, and that has started later than the saved list's, by its clock, has lost them.
+func TestSavedListIsResetOnceSenderIsConfirmed(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.agent.SaveFlowList()
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+	for _, c := range []struct {
+		later time.Duration
+		lost  bool
+	}{{time.Minute, true}, {-time.Minute, false}} {
+		successor := newTestEnv(t, false)
+		hb := server.Heartbeat{
+			ID: "i-2", Service: "desk", Address: ptest.Addr(successor.server), Slots: 1, Sequence: 2, StartedAt: startedAt.Add(c.later),
+		}
+		confirm, err := successor.agent.HandleHeartbeat(hb)
+		successor.NoErr(err)
+		successor.True(confirm)
+		successor.True(!successor.agent.tryRestore(saved))
+		successor.agent.ConfirmSender(hb)
+		successor.Equal(successor.agent.tryRestore(saved), c.lost)
+		successor.Equal(successor.read(successor.client) != nil, c.lost)
+		hb.Sequence++
+		confirm, err = successor.agent.HandleHeartbeat(hb)
+		successor.NoErr(err)
+		successor.True(!confirm)
+	}
+}
+
+// A saved list of a start whose time is later than that of the running one, since the clock was set back between them, is lost with that
+// start. Guards against clients that keep lost flows for long.
+func TestSavedListOfLaterStartTimeIsResetOnceSettled(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.agent.SaveFlowList()
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(env.store.list, &saved))
+
+	successor := newTestEnv(t, false)
+	restart := func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", startedAt.Add(-time.Minute) }
+	successor.receiveHeartbeat(restart)
+	successor.True(!successor.agent.tryRestore(saved))
+	successor.settle(func(hb *server.Heartbeat) { restart(hb); hb.Sequence = 8 })
+	successor.True(successor.agent.tryRestore(saved))
+	successor.Equal(successor.read(successor.client), []byte{'R', 50})
 }
 
 // A delayed heartbeat of an earlier start may be the first that a restarted agent receives. The next heartbeat is then not
@@ -54,7 +201,10 @@
 	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
 	env.Equal(env.read(env.client), []byte{5})
 	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID = "i-0" })
-	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 30, startedAt.Add(time.Minute) })
+	for _, later := range []time.Time{startedAt.Add(time.Minute), time.Now().Add(time.Minute)} {
+		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 30, later })
+		env.settle(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 31, later })
+	}
 	env.Equal(env.verdict(), seek.Held)
 	env.Equal(env.read(env.client), nil) // No reset.
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
@@ -137,7 +287,7 @@
 	env.openFlow()
 	env.receiveFromServer(4, ack)
 	env.Equal(env.read(env.client), []byte{4})
-	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", restartedAt })
+	env.receiveRestart(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", restartedAt })
 	env.Equal(env.read(env.client), []byte{'R', 9})
 	env.Equal(env.read(env.client), nil) // Only one reset.
 	env.Equal(env.verdict(), seek.Held)
@@ -153,7 +303,8 @@
 	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
 	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true})
 	env.Equal(env.read(env.client), []byte{2})
-	env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", time.Now() })
+	env.ageFlows(time.Minute)
+	env.receiveRestart(func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", startedAt.Add(time.Minute) })
 	env.Equal(env.read(env.client), nil) // No reset.
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
 	env.Equal(env.readKind(env.entry), encap.Return) // The entry finds the flow's server.
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -43,8 +43,12 @@
 const (
 	// ChangeNone means that no change needs to be reported.
 	ChangeNone Change = iota
-	// ChangeStarted means that the first heartbeat came from the server, or the first one after a restart.
+	// ChangeStarted means that the heartbeat is the first one of its start, or that it shows that the start before the current
+	// one is running after all.
 	ChangeStarted
+	// ChangeSettled means that the current start is certainly the one that is running. If there was an earlier start, the restart
+	// is now counted.
+	ChangeSettled
 	// ChangeDraining means that the server began to drain.
 	ChangeDraining
 	// ChangeLeft means that the server shut down and sent a notice.
@@ -56,6 +60,8 @@
 	switch c {
 	case ChangeStarted:
 		return "started"
+	case ChangeSettled:
+		return "settled"
 	case ChangeDraining:
 		return "draining"
 	case ChangeLeft:
@@ -65,8 +71,11 @@
 	}
 }
 
-// RecordHeartbeat records a heartbeat. It returns an error without changing the state if the heartbeat is of another address
-// or service, or of an earlier start of the server. Reordered and repeated heartbeats are ignored.
+// RecordHeartbeat records a heartbeat. It returns an error without changing the current start if the heartbeat is of another
+// address or service, or of an earlier start of the server. Reordered and repeated heartbeats are ignored.
+//
+// Start times order two starts only as long as nothing depends on it but which of them gets new flows: clocks may be set, and
+// heartbeats may be delayed. A start counts as the running one when it is settled.
 func (s *Server) RecordHeartbeat(hb Heartbeat, now time.Time) (Change, error) {
 	if hb.Address != s.opts.Address {
 		return ChangeNone, ErrAddress
@@ -74,32 +83,41 @@
 	if s.opts.Service != "" && hb.Service != s.opts.Service {
 		return ChangeNone, ErrService
 	}
-	if s.known && hb.ID == s.last.ID && hb.StartedAt.Equal(s.last.StartedAt) {
+	switch {
+	case s.known && hb.sameStart(&s.last):
 		return s.update(hb, now), nil
-	}
-	if s.known && hb.StartedAt.Before(s.last.StartedAt) && !s.heartbeatsLapsed(now) {
+	case s.unsettled && hb.sameStart(&s.previous) && hb.Sequence > s.previous.Sequence:
+		// The start before the current one is running, or this is a delayed heartbeat of it. The next heartbeats tell.
+	case s.known && hb.StartedAt.Before(s.last.StartedAt) && !s.heartbeatsLapsed(now):
+		s.otherStartSeen, s.otherStartSeenAt = true, now
 		return ChangeNone, ErrStale
 	}
-	restarted := s.isRestart(&hb, now)
-	if s.known && hb.StartedAt.Before(s.last.StartedAt) {
-		s.replaced = s.last
-	}
-	s.reset(restarted, now)
-	s.store(hb, now)
+	s.begin(hb, now)
 	return ChangeStarted, nil
 }
 
-// isRestart reports whether a heartbeat of another start than the last one proves that the server has started again, so that
-// its flows are lost. A delayed heartbeat of an earlier start proves nothing, whether it comes before or after those of
-// the running server.
-func (s *Server) isRestart(hb *Heartbeat, now time.Time) bool {
-	switch {
-	case !s.known, hb.ID == s.replaced.ID && hb.StartedAt.Equal(s.replaced.StartedAt):
-		return false
-	case hb.StartedAt.Before(s.last.StartedAt):
-		return hb.maxAge(s.opts.HeartbeatInterval) <= now.Sub(s.lastHeartbeatAt)
+// sameStart reports whether two heartbeats are of the same start of a server.
+func (hb *Heartbeat) sameStart(other *Heartbeat) bool {
+	return hb.ID == other.ID && hb.StartedAt.Equal(other.StartedAt)
+}
+
+// begin makes the start of a heartbeat the current one. The flows of a start that has sent its shutdown notice have ended.
+func (s *Server) begin(hb Heartbeat, now time.Time) {
+	s.previous = Heartbeat{}
+	if s.known && !s.left {
+		s.previous, s.otherStartSeen, s.otherStartSeenAt = s.last, true, s.lastHeartbeatAt
 	}
-	return !hb.StartedAt.Before(s.opts.ObservedSince)
+	s.unsettled = true
+	s.left = false
+	s.firstHeartbeatAt = now
+	s.confirmed = false
+	s.earliestStart = now
+	s.limitEarliestStart(hb, now)
+	s.unansweredOpens = 0
+	s.refusesOpensUntil = time.Time{}
+	s.lastPacketAt = now
+	s.meanServiceTime, s.samples, s.minHealthCheckTime = 0, 0, 0
+	s.store(hb, now)
 }
 
 // update records a heartbeat of the current start. Draining and leaving are final within a start.
@@ -115,48 +133,66 @@
 		change = ChangeDraining
 	}
 	s.store(hb, now)
+	if s.unsettled {
+		s.limitEarliestStart(hb, now)
+		if now.Sub(s.otherStartSeenAt) >= s.settleTime() {
+			s.settle()
+			change = max(change, ChangeSettled)
+		}
+	}
 	return change
 }
 
+// limitEarliestStart records that the current start has begun as early as a heartbeat of it allows: those before it may have been
+// delayed, so that they seem to show a later one.
+func (s *Server) limitEarliestStart(hb Heartbeat, now time.Time) {
+	if earliest := now.Add(-hb.maxAge(s.opts.HeartbeatInterval)); earliest.Before(s.earliestStart) {
+		s.earliestStart = earliest
+	}
+}
+
+// settleTime is how long no other start must have sent a heartbeat when a further one of the current start settles it. One that has been
+// seen may only have lost some; one that hasn't been seen since ObservedSince would have sent its first one by then.
+func (s *Server) settleTime() time.Duration {
+	if s.otherStartSeen {
+		return s.heartbeatTimeout()
+	}
+	return time.Duration(minIntervalFraction * float64(s.opts.HeartbeatInterval))
+}
+
+// settle records that the current start is certainly the one that is running: it has sent a further heartbeat, and no other start has
+// sent one for settleTime. A single heartbeat proves nothing, since it may be a delayed one. If there was a start before, the server
+// has started again.
+func (s *Server) settle() {
+	s.unsettled = false
+	if s.previous != (Heartbeat{}) {
+		s.restarts++
+	}
+}
+
 // store replaces the last heartbeat and clears the count of unanswered SYNs.
 func (s *Server) store(hb Heartbeat, now time.Time) {
 	s.last, s.known, s.lastHeartbeatAt, s.unansweredOpens = hb, true, now, 0
 	s.coldUntil = now.Add(hb.ColdRemaining)
 }
 
+// heartbeatTimeout is the time without heartbeats after which those of the current start have lapsed.
+func (s *Server) heartbeatTimeout() time.Duration {
+	return heartbeatTimeoutIntervals * s.opts.HeartbeatInterval
+}
+
 // heartbeatsLapsed reports whether the heartbeats of the current start have timed out. A start with an earlier StartedAt is
 // then accepted: the server's clock was set back between the two starts.
 func (s *Server) heartbeatsLapsed(now time.Time) bool {
-	return s.left || now.Sub(s.lastHeartbeatAt) > heartbeatTimeoutIntervals*s.opts.HeartbeatInterval
-}
-
-// reset discards the state of an earlier start and counts the restart if it is certain.
-func (s *Server) reset(restarted bool, now time.Time) {
-	if restarted {
-		s.restarts++
-	}
-	s.left = false
-	s.firstHeartbeatAt = now
-	s.unansweredOpens = 0
-	s.refusesOpensUntil = time.Time{}
-	s.lastPacketAt = now
-	s.meanServiceTime, s.samples, s.minHealthCheckTime = 0, 0, 0
-}
-
-// IsNew reports whether this is a heartbeat of a server that can't hold flows yet, since no agent has acknowledged one of
-// its heartbeats before: the server is younger than interval, and after an acknowledgement the next heartbeat comes a
-// whole interval later. now must be from a clock that the server shares.
-func (hb *Heartbeat) IsNew(now time.Time, interval time.Duration) bool {
-	const maxAgeFraction = 0.8 // Heartbeats may be sent slightly early.
-	age := now.Sub(hb.StartedAt)
-	return hb.ColdRemaining > 0 && !hb.StartedAt.IsZero() && age >= 0 && float64(age) < maxAgeFraction*float64(interval)
+	return s.left || now.Sub(s.lastHeartbeatAt) > s.heartbeatTimeout()
 }
 
 // callTimeout is how long a server waits for the acknowledgement of a heartbeat.
 const callTimeout = time.Second
 
-// maxAge returns an upper bound for the time since the server started, from the number of its heartbeats: each is sent at
-// most one interval after the end of the call before it. Lost and late heartbeats and clock steps don't make it too low.
+// maxAge returns an upper bound for the time between the start of the server and the sending of the heartbeat, from the number of
+// heartbeats: each is sent at most one interval after the end of the call before it. Lost heartbeats and clock steps don't make it
+// too low.
 func (hb *Heartbeat) maxAge(interval time.Duration) time.Duration {
 	perHeartbeat := interval + callTimeout
 	if hb.Sequence >= uint64(math.MaxInt64/perHeartbeat) {
@@ -165,22 +201,27 @@
 	return time.Duration(hb.Sequence+1) * perHeartbeat
 }
 
-// StartedSince reports whether the server certainly started after t, a time of a clock that the server shares. Both the
-// start time and the number of heartbeats must show it: the wall clock may have been set back since the server's start.
-func (hb *Heartbeat) StartedSince(t, now time.Time, interval time.Duration) bool {
-	return hb.StartedAt.After(t) && hb.maxAge(interval) < now.Sub(t)
-}
+// EarliestStart returns the earliest time at which the current start may have begun, by the number of its heartbeats. It doesn't rest
+// on the server's clock. Pauses of the caller, in which heartbeats may have been queued, aren't included.
+func (s *Server) EarliestStart() time.Time { return s.earliestStart }
 
-// EarliestStart returns the earliest time at which the server may have started, by its start time, which is of a clock that
-// the server shares, and by the number of its heartbeats.
-func (hb *Heartbeat) EarliestStart(now time.Time, interval time.Duration) time.Time {
-	earliest := now.Add(-hb.maxAge(interval))
-	if hb.StartedAt.After(earliest) {
-		return hb.StartedAt
+// Confirm records that the sender of a heartbeat was running when the heartbeat was processed.
+func (s *Server) Confirm(hb Heartbeat) {
+	if s.known && hb.sameStart(&s.last) {
+		s.confirmed = true
 	}
-	return earliest
 }
 
+// Confirmed reports whether the current start was running when a heartbeat of it was processed, and no other start has been seen. It
+// counts before the start is settled only beside other evidence: a proxy may hold heartbeats back.
+func (s *Server) Confirmed() bool { return s.confirmed && !s.otherStartSeen }
+
+// Settled reports whether the current start is certainly the one that is running.
+func (s *Server) Settled() bool { return s.known && !s.unsettled }
+
+// Ambiguous reports whether heartbeats of two starts have come and it isn't certain which of them is running.
+func (s *Server) Ambiguous() bool { return s.unsettled && s.previous != (Heartbeat{}) }
+
 // RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
 // of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
 func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,6 +9,8 @@
 const (
 	// heartbeatTimeoutIntervals is the heartbeat timeout in heartbeat intervals. Two heartbeats in a row may be lost.
 	heartbeatTimeoutIntervals = 3
+	// minIntervalFraction is the shortest time between two heartbeats of a start, as a fraction of the heartbeat interval.
+	minIntervalFraction = 0.9
 	// openTimeout is the time in which a server must respond to a SYN. A working server takes less than 1 ms; the margin
 	// allows for a fully loaded CPU.
 	openTimeout = 120 * time.Millisecond
@@ -38,8 +40,7 @@
 	Service string
 	// HeartbeatInterval is the time between the server's heartbeats.
 	HeartbeatInterval time.Duration
-	// ObservedSince is since when the server's heartbeats have been received. A server that started earlier may have been
-	// running before the first heartbeat of another start. The zero time means that no server was running before.
+	// ObservedSince is since when the server's heartbeats have been received, by the clock of the caller.
 	ObservedSince time.Time
 }
 
@@ -55,8 +56,17 @@
 	// firstHeartbeatAt is when the first heartbeat of the current start came.
 	firstHeartbeatAt time.Time
 	coldUntil        time.Time
-	// replaced is the last heartbeat before one with an earlier StartedAt was accepted. It may be of the running server.
-	replaced Heartbeat
+	// earliestStart is the earliest time at which the current start may have begun.
+	earliestStart time.Time
+	// confirmed means that the sender of a heartbeat of the current start was running when the heartbeat was processed.
+	confirmed bool
+	// unsettled means that another start than the current one may be running. previous is the last heartbeat of the start before,
+	// zero if there was none. otherStartSeen means that heartbeats of another start have come, the last one at otherStartSeenAt, which
+	// is Options.ObservedSince otherwise.
+	unsettled        bool
+	previous         Heartbeat
+	otherStartSeen   bool
+	otherStartSeenAt time.Time
 
 	lastPacketAt        time.Time
 	unansweredOpens     int
@@ -72,11 +82,12 @@
 }
 
 // New returns the state of a server before its first heartbeat.
-func New(opts Options) *Server { return &Server{opts: opts} }
+func New(opts Options) *Server { return &Server{opts: opts, otherStartSeenAt: opts.ObservedSince} }
 
 // CompensatePause extends the running timeouts by a time in which the agent's own process was paused.
 func (s *Server) CompensatePause(gap time.Duration) {
 	s.lastHeartbeatAt = s.lastHeartbeatAt.Add(gap)
+	s.otherStartSeenAt = s.otherStartSeenAt.Add(gap)
 	s.lastPacketAt = s.lastPacketAt.Add(gap)
 	s.firstUnansweredOpen = s.firstUnansweredOpen.Add(gap)
 }
@@ -105,7 +116,7 @@
 		return ReasonLeft
 	case s.known && s.last.Draining:
 		return ReasonDraining
-	case s.known && now.Sub(s.lastHeartbeatAt) > heartbeatTimeoutIntervals*s.opts.HeartbeatInterval &&
+	case s.known && now.Sub(s.lastHeartbeatAt) > s.heartbeatTimeout() &&
 		now.Sub(s.lastPacketAt) > s.opts.HeartbeatInterval:
 		return ReasonHeartbeatsMissing
 	case s.unansweredOpens >= unansweredOpenThreshold && now.Sub(s.firstUnansweredOpen) > openTimeout:
@@ -126,7 +137,7 @@
 	return s.left || (now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout)
 }
 
-// Restarts returns how many restarts of the server are certain. Flows of an earlier start are lost.
+// Restarts returns how many restarts of the server are certain. Flows that were opened before EarliestStart are then lost.
 func (s *Server) Restarts() int { return s.restarts }
 
 // RecordPacket records that the server sent a packet.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -88,6 +88,9 @@
 	_, err := s.RecordHeartbeat(back, epoch.Add(interval))
 	is.True(errors.Is(err, ErrStale))
 	is.Equal(mustRecordHeartbeat(t, s, back, epoch.Add(4*interval)), ChangeStarted)
+	is.Equal(s.Restarts(), 0) // It may be a delayed heartbeat.
+	back.Sequence = 2
+	is.Equal(mustRecordHeartbeat(t, s, back, epoch.Add(5*interval)), ChangeSettled)
 	is.Equal(s.Restarts(), 1)
 }
 
@@ -99,6 +102,9 @@
 	again := heartbeat(1)
 	again.StartedAt = epoch.Add(20 * time.Second)
 	is.Equal(mustRecordHeartbeat(t, s, again, epoch.Add(20*time.Second)), ChangeStarted)
+	is.Equal(s.Restarts(), 0) // It may be a delayed heartbeat.
+	again.Sequence = 2
+	is.Equal(mustRecordHeartbeat(t, s, again, epoch.Add(21*time.Second)), ChangeSettled)
 	is.Equal(s.Restarts(), 1)
 }
 
@@ -175,20 +181,114 @@
 	is.Equal(s.RefusalReason(epoch.Add(interval)), ReasonNone)
 }
 
-// A server younger than a heartbeat interval is new. One whose age isn't plausible or that isn't cold is not.
-func TestIsNew(t *testing.T) {
+// The start of a server is dated by the number of its heartbeats alone: its start time may be of a clock that was set. Guards against
+// flows that are taken for those of an earlier start, or for unknown ones of a server that seems to be new.
+func TestEarliestStartDoesNotRestOnClocks(t *testing.T) {
+	for _, startTime := range []time.Time{{}, epoch.Add(-time.Hour), epoch.Add(-time.Second), epoch, epoch.Add(1300 * time.Millisecond), epoch.Add(time.Hour)} {
+		for _, cold := range []time.Duration{0, time.Millisecond, 2 * time.Second} {
+			is := is.New(t)
+			s := newServer()
+			hb := heartbeat(3)
+			hb.StartedAt, hb.ColdRemaining = startTime, cold
+			mustRecordHeartbeat(t, s, hb, epoch)
+			is.Equal(s.EarliestStart(), epoch.Add(-4*(interval+callTimeout)))
+		}
+	}
+}
+
+// Two starts whose heartbeats come in turn can't both be running. Guards against a restart that is counted, so that flows are reset, by
+// the order of start times: a clock was set back between the two starts, and the heartbeats of the first one are delayed.
+func TestRestartIsNotCountedWhileBothStartsSendHeartbeats(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(30), epoch)
+	mustRecordHeartbeat(t, s, heartbeat(31), epoch.Add(interval))
+	is.True(s.Settled())
+	delayed := heartbeat(1)
+	delayed.ID, delayed.StartedAt = "i-0", epoch.Add(time.Minute)
+	now := epoch.Add(interval)
+	for i := range uint64(6) {
+		now = now.Add(interval)
+		delayed.Sequence++
+		is.Equal(mustRecordHeartbeat(t, s, delayed, now), ChangeStarted)
+		is.Equal(mustRecordHeartbeat(t, s, heartbeat(32+i), now.Add(interval/2)), ChangeStarted) // It is running.
+		is.Equal(s.Restarts(), 0)
+	}
+	for i := range uint64(4) {
+		mustRecordHeartbeat(t, s, heartbeat(40+i), now.Add(time.Duration(i+1)*interval))
+	}
+	is.True(s.Settled())
+	last, _ := s.LastHeartbeat()
+	is.Equal(last.ID, "i-1")
+	is.True(s.EarliestStart().Before(epoch)) // Whatever was seen of it is kept.
+}
+
+// A start isn't settled while the first heartbeat of another one may still come. Guards against the reset of flows by two delayed
+// heartbeats that come at once after the agent's start.
+func TestStartIsSettledAfterHeartbeatInterval(t *testing.T) {
 	is := is.New(t)
-	a := heartbeat(3)
-	a.ColdRemaining = time.Second
-	is.True(a.IsNew(afterStart(200*time.Millisecond), interval))
-	is.True(!a.IsNew(afterStart(interval), interval))
-	is.True(!a.IsNew(afterStart(-time.Second), interval)) // The clock was set back.
-	a.ColdRemaining = 0
-	is.True(!a.IsNew(afterStart(200*time.Millisecond), interval))
+	s := New(Options{Address: address, Service: "desk", HeartbeatInterval: interval, ObservedSince: epoch})
+	mustRecordHeartbeat(t, s, heartbeat(1), epoch)
+	is.Equal(mustRecordHeartbeat(t, s, heartbeat(2), epoch.Add(time.Millisecond)), ChangeNone)
+	is.Equal(mustRecordHeartbeat(t, s, heartbeat(3), epoch.Add(interval)), ChangeSettled)
+	is.Equal(s.Restarts(), 0)
 }
 
-// afterStart returns the time elapsed after the start of the server in the heartbeats that heartbeat returns.
-func afterStart(elapsed time.Duration) time.Time { return epoch.Add(elapsed) }
+// Once another start has been seen, its next heartbeats may be lost. Guards against a restart that is counted too early.
+func TestStartIsSettledAfterHeartbeatTimeoutOfAnother(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{Address: address, Service: "desk", HeartbeatInterval: interval, ObservedSince: epoch})
+	next := heartbeat(1)
+	next.ID, next.StartedAt = "i-2", epoch.Add(time.Second)
+	mustRecordHeartbeat(t, s, next, epoch)
+	_, err := s.RecordHeartbeat(heartbeat(30), epoch.Add(interval))
+	is.True(errors.Is(err, ErrStale))
+	for i, want := range []Change{ChangeNone, ChangeNone, ChangeSettled} {
+		next.Sequence++
+		is.Equal(mustRecordHeartbeat(t, s, next, epoch.Add(time.Duration(i+2)*interval)), want)
+	}
+}
+
+// The first heartbeat that comes of a start may be a delayed one, and its number too low for the server's age. Guards against an agent
+// that denies the flows of a server that is older than the agent.
+func TestEarliestStartWithDelayedFirstHeartbeat(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(2), epoch)
+	mustRecordHeartbeat(t, s, heartbeat(30), epoch.Add(interval))
+	is.True(s.Settled())
+	is.True(s.EarliestStart().Before(epoch.Add(-30 * interval)))
+}
+
+// Two copies of one delayed heartbeat settle nothing.
+func TestRepeatedHeartbeatDoesNotSettleStart(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(2), epoch)
+	is.Equal(mustRecordHeartbeat(t, s, heartbeat(2), epoch.Add(10*interval)), ChangeNone)
+	is.True(!s.Settled())
+	is.Equal(mustRecordHeartbeat(t, s, heartbeat(1), epoch.Add(20*interval)), ChangeNone)
+	is.True(!s.Settled())
+}
+
+// A start is confirmed by its own heartbeats only, and not once heartbeats of two starts have come: a proxy may have held one back.
+func TestConfirm(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	s.Confirm(heartbeat(1))
+	is.True(!s.Confirmed())
+	mustRecordHeartbeat(t, s, heartbeat(1), epoch)
+	other := heartbeat(1)
+	other.StartedAt = epoch.Add(time.Second)
+	s.Confirm(other)
+	is.True(!s.Confirmed())
+	s.Confirm(heartbeat(1))
+	is.True(s.Confirmed())
+	mustRecordHeartbeat(t, s, other, epoch)
+	is.True(!s.Confirmed())
+	s.Confirm(other)
+	is.True(!s.Confirmed())
+}
 
 // A delayed heartbeat of an earlier start may arrive while the heartbeats of the running server are missing. It must not
 // count as a restart, nor must the running server's next heartbeat: its flows would be reset.
@@ -205,6 +305,9 @@
 	is.Equal(s.Restarts(), 0)
 	current.Sequence, current.StartedAt = 1, epoch.Add(20*time.Second)
 	mustRecordHeartbeat(t, s, current, epoch.Add(10*interval))
+	is.Equal(s.Restarts(), 0) // It may be a delayed heartbeat.
+	current.Sequence = 2
+	mustRecordHeartbeat(t, s, current, epoch.Add(11*interval))
 	is.Equal(s.Restarts(), 1)
 }
 
@@ -222,14 +325,6 @@
 	is.True(s.RecordShutdown("i-1", epoch.Add(21*time.Second)))
 }
 
-// The start time counts unless the number of heartbeats shows that the server is younger.
-func TestEarliestStart(t *testing.T) {
-	is := is.New(t)
-	hb := heartbeat(1)
-	is.Equal(hb.EarliestStart(afterStart(time.Second), interval), epoch)
-	is.Equal(hb.EarliestStart(afterStart(time.Minute), interval), afterStart(56*time.Second)) // The clock was set ahead.
-}
-
 // Load pattern: half of the servers crash at a crest. A crashed server returns SYNs and is idle; it must get no new flow until it has
 // started again, and one that only was full for a moment is tried again after one load report.
 func TestServerThatRefusesSynIsTriedAgain(t *testing.T) {
--- a/tests/kinds_test.go
+++ b/tests/kinds_test.go
@@ -51,7 +51,7 @@
 	{"config_storm", "as config_change", []string{"internal/memb.TestConfigurationDoesNotRegress", "TestSoak"}},
 	{"big_config", "as config_change", []string{"platform.TestConfigGolden"}},
 	{"after_ack_kill", "what was acknowledged holds for the next process", []string{"internal/deliv.TestNewFlowsArePassedOnBeforeFirstHeartbeat", "internal/server.TestNewFlowsAreRefusedBeforeFirstHeartbeat"}},
-	{"clock_step", "nothing rests on the time of day but a server's birth", []string{"internal/server.TestStartIsAcceptedAfterClockStep", "internal/memb.TestProcessRaisesItsIncarnation"}},
+	{"clock_step", "no flow is reset or denied by the time of day", []string{"internal/deliv.TestServerIsNotNewByItsStartTime", "internal/deliv.TestDelayedHeartbeatWithLaterStartTimeKeepsFlows", "internal/server.TestStartIsAcceptedAfterClockStep", "internal/memb.TestProcessRaisesItsIncarnation"}},
 	{"hup", "settings are read again, and nothing ends", []string{"TestSoak"}},
 	{"reset_conns", "the next call opens a new connection", []string{"platform.TestFailures"}},
 }
