--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -127,8 +128,7 @@
 	// refusalReason is the reason that was published last.
 	refusalReason server.Reason
 	openFlows     int
-	// listReplies is the ID of the latest list reply. It starts at the time of the agent's start, so that a restarted agent
-	// doesn't use one again.
+	// listReplies is the ID of the latest list reply. It starts at a random number, so that a restarted agent doesn't use one again.
 	listReplies encap.ReplyID
 	// reportedPending is the number of pending requests, queued and running, in the last load report.
 	reportedPending int
@@ -141,7 +141,7 @@
 		Address: opts.Server, Service: opts.Service, HeartbeatInterval: opts.HeartbeatInterval, ObservedSince: now,
 	}
 	a := &Agent{
-		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(now.UnixNano()),
+		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
