--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -396,6 +396,21 @@
 	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("mail")})), 1)
 }
 
+// Guards against the reset of flows of an agent whose address was used before by a process with a later time of day: the record of that
+// one's end has a higher incarnation.
+func TestRecordOfEarlierProcessDoesNotEndRunningAgent(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Server: &ctrl.ServerLoad{Ready: true}})
+	gone := agentRecord("desk")
+	gone.Incarnation, gone.State, gone.Since = 9, view.Gone, time.Now()
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Records: []view.Record{gone}})
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("desk")})), 1)
+	n.peers[otherAddr].silent = true
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Records: []view.Record{gone}})
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("desk")})), 0)
+}
+
 // Guards against an entry that takes itself for isolated, and holds back resets of lost flows, after most processes have announced
 // that they are gone, as when a deployment is scaled down.
 func TestGoneProcessesAreNotAwaited(t *testing.T) {
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -544,6 +544,7 @@
 func (n *Node) mergeRecords(records []view.Record) {
 	now := time.Now()
 	var newPeers []netip.AddrPort
+	var contradicted []view.Record
 	n.mu.Lock()
 	for _, r := range records {
 		if r.Packets == n.self.Packets {
@@ -553,6 +554,10 @@
 		if !n.tracks(r) {
 			continue
 		}
+		if n.isContradicted(r) {
+			contradicted = append(contradicted, r)
+			continue
+		}
 		if n.view.Merge(r, now) && (r.State == view.Up || r.State == view.Draining) && n.peers[r.Packets] == nil {
 			n.peers[r.Packets] = &peer{lastHeartbeat: now}
 			newPeers = append(newPeers, r.Control)
@@ -563,6 +568,18 @@
 	if len(newPeers) > 0 {
 		n.sendState(state, newPeers)
 	}
+	for _, r := range contradicted {
+		n.sendRecords(r.Control, []view.Record{r}) // The process refutes it.
+	}
+}
+
+// isContradicted reports whether a record says that a process has ended, but heartbeats of another incarnation arrive from its address.
+// Incarnations are ordered by the time of day at their starts, so that the record may be of an earlier one. The caller holds the lock.
+func (n *Node) isContradicted(r view.Record) bool {
+	p := n.peers[r.Packets]
+	known, ok := n.view.Get(r.Packets)
+	return ok && p != nil && p.contacted && !p.silent && (r.State == view.Lost || r.State == view.Gone) &&
+		r.Incarnation != known.Incarnation && r.Supersedes(&known)
 }
 
 // SetSeeds replaces the seeds and sends them a hello.
