--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -120,20 +120,23 @@
 	s.store(hb, now)
 }
 
-// update records a heartbeat of the current start. Draining and leaving are final within a start.
+// update records a heartbeat of the current start. Draining and leaving are final within a start. A lower sequence number than the last
+// one counts only if no higher one came for a while: that one was wrong, or the server has started again at the same time of its clock.
 func (s *Server) update(hb Heartbeat, now time.Time) Change {
-	if s.left || hb.Sequence <= s.last.Sequence {
+	if s.left {
 		return ChangeNone
 	}
 	change := ChangeNone
-	switch {
-	case s.last.Draining:
-		hb.Draining = true
-	case hb.Draining:
-		change = ChangeDraining
+	if hb.Draining && !s.last.Draining {
+		s.last.Draining, change = true, ChangeDraining
+	}
+	isNewest := hb.Sequence > s.last.Sequence
+	if !isNewest && now.Sub(s.lastHeartbeatAt) <= sequenceTimeoutIntervals*s.opts.HeartbeatInterval {
+		return change
 	}
+	hb.Draining = s.last.Draining
 	s.store(hb, now)
-	if s.unsettled {
+	if s.unsettled && isNewest {
 		s.limitEarliestStart(hb, now)
 		if now.Sub(s.otherStartSeenAt) >= s.settleTime() {
 			s.settle()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,6 +9,9 @@
 const (
 	// heartbeatTimeoutIntervals is the heartbeat timeout in heartbeat intervals. Two heartbeats in a row may be lost.
 	heartbeatTimeoutIntervals = 3
+	// sequenceTimeoutIntervals is how many heartbeat intervals a sequence number keeps lower ones from being used. It is less than
+	// heartbeatTimeoutIntervals, so that a wrong number doesn't make the heartbeats lapse.
+	sequenceTimeoutIntervals = 2
 	// minIntervalFraction is the shortest time between two heartbeats of a start, as a fraction of the heartbeat interval.
 	minIntervalFraction = 0.9
 	// openTimeout is the time in which a server must respond to a SYN. A working server takes less than 1 ms; the margin
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -43,6 +43,26 @@
 	is.Equal(s.RefusalReason(epoch), ReasonNone)
 }
 
+// Guards against a server that counts as failed, with all its flows, since one wrong sequence number makes all later ones look old.
+func TestWrongSequenceNumberIsReplaced(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(1), epoch)
+	mustRecordHeartbeat(t, s, heartbeat(1<<39), epoch.Add(interval/2))
+	for i := range uint64(8) {
+		now := epoch.Add(time.Duration(i+1) * interval)
+		is.Equal(mustRecordHeartbeat(t, s, heartbeat(2+i), now), ChangeNone)
+		is.Equal(s.RefusalReason(now.Add(interval-1)), ReasonNone)
+	}
+	last, _ := s.LastHeartbeat()
+	is.Equal(last.Sequence, uint64(9))
+	mustRecordHeartbeat(t, s, heartbeat(1<<39), epoch.Add(9*interval))
+	drain := heartbeat(10)
+	drain.Draining = true
+	is.Equal(mustRecordHeartbeat(t, s, drain, epoch.Add(10*interval)), ChangeDraining) // It is acknowledged, so it must count.
+	is.Equal(s.RefusalReason(epoch.Add(10*interval)), ReasonDraining)
+}
+
 // A server that has reported draining must not get new flows because of a reordered or later heartbeat without it.
 func TestHeartbeatDoesNotEndDraining(t *testing.T) {
 	is := is.New(t)
