--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -86,11 +86,11 @@
 	}
 	stale := registered && !n.rereadDue(time.Now())
 	listings, err := n.opts.Directory.List(ctx, stale)
+	records := n.evaluateListings(listings, stale, time.Now())
+	n.mergeRecords(records)
 	if err != nil {
 		return err
 	}
-	records := n.evaluateListings(listings, stale, time.Now())
-	n.mergeRecords(records)
 	n.recordDirectoryRead(records, time.Now())
 	for _, r := range records {
 		if r.Packets == self.Packets && r.Incarnation == self.Incarnation {
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -78,8 +78,8 @@
 	Current() bool
 	// Era is the store's era, as far as this process knows; 0 if unknown. It rises when the store has lost its latest changes.
 	Era() uint64
-	// List returns the records of all registered processes. If stale is set it may omit the changes of the last seconds,
-	// which costs the store less.
+	// List returns the records of all registered processes, and with an error some of them. If stale is set it may omit the changes
+	// of the last seconds, which costs the store less.
 	List(ctx context.Context, stale bool) ([]view.Listing, error)
 	// Deregister removes the record of this process.
 	Deregister(ctx context.Context) error
