--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -273,11 +273,28 @@
 	}
 }
 
-// restoreFlowList restores a saved list as soon as a heartbeat of the server has come.
-func (a *Agent) restoreFlowList(ctx context.Context, list []byte) {
+// parseFlowList decodes a saved list. The error names the invalid field.
+func parseFlowList(list []byte) (savedFlowList, error) {
 	var s savedFlowList
 	if err := cbor.Unmarshal(list, &s); err != nil {
-		a.opts.Log.Warn("can't decode the saved list of flows", zap.Error(errors.Wrap(err, "decode CBOR")))
+		return savedFlowList{}, errors.Wrap(err, "decode CBOR")
+	}
+	switch {
+	case len(s.Keys)%flow.KeySize != 0 || len(s.Keys)/flow.KeySize != len(s.NextSeqs):
+		return savedFlowList{}, errors.Errorf("%d bytes of keys for %d sequence numbers", len(s.Keys), len(s.NextSeqs))
+	case len(s.OpeningKeys)%flow.KeySize != 0:
+		return savedFlowList{}, errors.Errorf("%d bytes of keys of opening flows", len(s.OpeningKeys))
+	case len(s.Keys)+len(s.OpeningKeys) > maxFlows*flow.KeySize:
+		return savedFlowList{}, errors.Errorf("more than %d flows", maxFlows)
+	}
+	return s, nil
+}
+
+// restoreFlowList restores a saved list as soon as a heartbeat of the server has come.
+func (a *Agent) restoreFlowList(ctx context.Context, list []byte) {
+	s, err := parseFlowList(list)
+	if err != nil {
+		a.opts.Log.Warn("saved list of flows is not usable", zap.Error(err))
 		return
 	}
 	for ctx.Err() == nil && time.Since(a.startedAt) < loadTimeout {
@@ -299,11 +316,6 @@
 		return false
 	}
 	keys := encap.ParseKeys(s.Keys)
-	if len(keys) != len(s.NextSeqs) {
-		a.opts.Log.Warn("saved list of flows is corrupt: keys and sequence numbers differ in number", zap.Int("keys", len(keys)),
-			zap.Int("ends", len(s.NextSeqs)))
-		return true
-	}
 	sameStart := hb.ID == s.ServerID && hb.StartedAt.UnixNano() == s.ServerStartedAt
 	isLater := a.server.Confirmed() && hb.StartedAt.UnixNano() > s.ServerStartedAt
 	if !sameStart && !isLater && !a.server.Settled() {
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -607,3 +607,43 @@
 	env.agent.SaveFlowList()
 	env.Equal(env.store.list, list)
 }
+
+// Guards against a saved list of another writer that ends the process or fills the flow table.
+func TestOddFlowListIsNotRestored(t *testing.T) {
+	key := flow.NewKey(client, service).Append(nil)
+	for name, list := range map[string]any{
+		"number":          7,
+		"text":            "x",
+		"too few numbers": savedFlowList{Keys: key},
+		"part of a key":   savedFlowList{Keys: key[1:], NextSeqs: []uint32{1}},
+		"opening key":     savedFlowList{OpeningKeys: key[1:]},
+		"too many":        savedFlowList{OpeningKeys: make([]byte, (maxFlows+1)*flow.KeySize)},
+	} {
+		env := newTestEnv(t, false)
+		encoded, err := cbor.Marshal(list)
+		env.NoErr(err)
+		_, err = parseFlowList(encoded)
+		env.True(err != nil)
+		env.store.list = encoded
+		env.receiveHeartbeat(nil)
+		env.agent.loadFlowList(context.Background())
+		if env.agent.gauges().flows != 0 {
+			t.Errorf("%s: flows restored", name)
+		}
+	}
+}
+
+func FuzzFlowList(f *testing.F) {
+	key := flow.NewKey(client, service).Append(nil)
+	list, err := cbor.Marshal(savedFlowList{ServerID: "i-1", Keys: key, NextSeqs: []uint32{7}, OpeningKeys: key})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(list)
+	f.Fuzz(func(t *testing.T, list []byte) {
+		s, err := parseFlowList(list)
+		if err == nil && len(encap.ParseKeys(s.Keys)) != len(s.NextSeqs) {
+			t.Fatalf("%d keys, %d sequence numbers", len(encap.ParseKeys(s.Keys)), len(s.NextSeqs))
+		}
+	})
+}
--- a/internal/view/record.go
+++ b/internal/view/record.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // Role is the function of a process.
@@ -87,6 +88,34 @@
 	Since time.Time `cbor:"10,keyasint,omitempty"`
 }
 
+// The highest version numbers of a record that is taken for valid. Processes refute records by higher ones, which must not overflow.
+const (
+	maxIncarnation = 1 << 62
+	maxEpoch       = 1 << 31
+)
+
+// Validate returns an error that names the first field whose value no process of the deployment writes. It is for records from sources
+// that others can write to.
+func (r *Record) Validate() error {
+	switch {
+	case !isIPv4Endpoint(r.Packets):
+		return errors.Errorf("record: packets %s is not an IPv4 address and port", r.Packets)
+	case !isIPv4Endpoint(r.Control):
+		return errors.Errorf("record: control %s is not an IPv4 address and port", r.Control)
+	case r.Role != Entry && r.Role != Agent:
+		return errors.Errorf("record: role %d is unknown", r.Role)
+	case r.State < Up || r.State > Gone:
+		return errors.Errorf("record: state %d is unknown", r.State)
+	case r.Incarnation > maxIncarnation:
+		return errors.Errorf("record: incarnation %d is out of range", r.Incarnation)
+	case r.Epoch > maxEpoch:
+		return errors.Errorf("record: epoch %d is out of range", r.Epoch)
+	}
+	return nil
+}
+
+func isIPv4Endpoint(addr netip.AddrPort) bool { return addr.Addr().Is4() && addr.Port() != 0 }
+
 // Listing is a record in a directory of processes.
 type Listing struct {
 	Record
