--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,14 @@
 slopes:
 	$(GO) test -run '^$$' -bench Slope -benchmem -benchtime 200ms ./...
 
+# The time for each decoder.
+FUZZTIME ?= 20s
+
+# Runs the fuzz target of each decoder; go test takes one at a time.
 fuzz:
-	$(GO) test -run '^$$' -fuzz FuzzParse -fuzztime 20s ./internal/packet
-	$(GO) test -run '^$$' -fuzz FuzzOpen -fuzztime 20s ./internal/wrap
-	$(GO) test -run '^$$' -fuzz FuzzCodec -fuzztime 20s ./internal/ctrl
+	@for target in internal/packet.FuzzParse internal/wrap.FuzzOpen internal/ctrl.FuzzCodec internal/encap.FuzzParse \
+		internal/ticket.FuzzDecode internal/split.FuzzSplit internal/deliv.FuzzFlowList platform.FuzzParse platform.FuzzConfig \
+		platform.FuzzHeartbeat platform.FuzzItems platform.FuzzRecord; do \
+		echo "$$target"; \
+		$(GO) test -run '^$$' -fuzz "^$${target##*.}$$" -fuzztime $(FUZZTIME) "./$${target%.*}" || exit 1; \
+	done
--- a/internal/local/config.go
+++ b/internal/local/config.go
@@ -97,3 +97,23 @@
 func (d *Deployment) RecordKey(p *Process) string {
 	return directoryPrefix + netip.AddrPortFrom(p.IP, portHops).String()
 }
+
+// flowListPrefix begins the keys of the flow lists that agents write to the store; their packet addresses follow.
+const flowListPrefix = "bergamotrun/flows/"
+
+// PutOddItems writes items to the store that can't be decoded, among the records of processes, beside the configuration, and in the
+// place of all agents' flow lists.
+func (d *Deployment) PutOddItems() {
+	d.Store.PutOdd(directoryPrefix + "127.9.9.9:")
+	d.Store.PutOdd(fakes.ConfigKey + "-")
+	for _, p := range d.Agents {
+		key := flowListPrefix + netip.AddrPortFrom(p.IP, portHops).String()
+		d.Store.PutEncoded(key, []byte(fakes.DeepArray()))
+	}
+}
+
+// SendOddHeartbeats sends an agent heartbeats of which none names a server to use, and returns how many it acknowledged.
+func (d *Deployment) SendOddHeartbeats(ctx context.Context, p *Process) (acknowledged int, err error) {
+	service := d.opts.Services[d.placements[p].service].Name
+	return fakes.SendOddHeartbeats(ctx, netip.AddrPortFrom(p.IP, portAnnounce), service, netip.AddrPortFrom(p.IP, portServer))
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -330,6 +330,9 @@
 	return c, nil
 }
 
+// ClientPort returns the port at which clients and entries receive each other's packets.
+func (d *Deployment) ClientPort() uint16 { return portClients }
+
 // Close kills all processes and stops the fakes.
 func (d *Deployment) Close() {
 	d.mu.Lock()
--- a/tests/opaque_test.go
+++ b/tests/opaque_test.go
@@ -22,6 +22,7 @@
 	slotRecovery
 	slotSlope
 	slotStop
+	slotOdd
 )
 
 // A deployment for opaque flows must answer all requests and keep all flows while all entries and one agent are replaced
