--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -79,8 +79,9 @@
 	writing chan struct{}
 
 	mu sync.Mutex
-	// lease is the process's lease; the zero Lease if it has none.
-	lease Lease
+	// lease is the process's lease; the zero Lease if it has none. granted is its time to live.
+	lease   Lease
+	granted time.Duration
 	// keys holds the process's keys; nil after Close.
 	keys map[string]key
 }
@@ -100,9 +101,9 @@
 // maxUnanswered bounds the unanswered writes of a key that are remembered.
 const maxUnanswered = 16
 
-// New returns a Keeper without keys, whose lease ends ttl after its last renewal.
+// New returns a Keeper without keys. It requests a lease that ends ttl after its last renewal.
 func New(store Store, ttl time.Duration) *Keeper {
-	return &Keeper{store: store, ttl: ttl, writing: make(chan struct{}, 1), keys: make(map[string]key)}
+	return &Keeper{store: store, ttl: ttl, granted: ttl, writing: make(chan struct{}, 1), keys: make(map[string]key)}
 }
 
 // Current reports whether a key is in the store under the process's lease, as far as it knows.
@@ -329,16 +330,26 @@
 	if lease := k.heldLease(); k.isCurrent(lease) {
 		return lease, nil
 	}
-	lease, _, err := k.store.GrantLease(ctx, k.ttl)
+	lease, granted, err := k.store.GrantLease(ctx, k.ttl)
 	if err != nil {
 		return Lease{}, err
 	}
+	if granted <= 0 {
+		granted = k.ttl
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.lease = lease
+	k.lease, k.granted = lease, granted
 	return lease, nil
 }
 
+// TTL returns the time to live that the store has granted for the last lease, which may differ from the one that is requested.
+func (k *Keeper) TTL() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.granted
+}
+
 // forgetLease drops a lease that the store doesn't have, unless another call has already replaced it.
 func (k *Keeper) forgetLease(lease Lease) {
 	k.mu.Lock()
--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -13,36 +13,48 @@
 // maintainRegistration keeps the process registered in the directory, and reads the directory for other processes. If the store has
 // lost the record, it registers again at once.
 func (n *Node) maintainRegistration(ctx context.Context) error {
-	var lastAttempt, lastRead time.Time
-	registered, failing := false, false
+	r := registration{node: n}
 	n.sendHello()
-	maintain := func() {
-		now := time.Now()
-		registered = registered && n.opts.Directory.Current()
-		if registered && now.Sub(lastAttempt) < n.opts.Directory.KeepAliveInterval() && now.Sub(lastRead) < directoryReadInterval &&
-			!n.rereadDue(now) && !failing {
-			return
-		}
-		if failing && now.Sub(lastAttempt) < directoryRetryInterval {
-			return
-		}
-		lastAttempt = now
-		err := n.syncDirectory(ctx, registered)
-		if failing = err != nil; failing {
-			n.opts.Log.Debug("directory sync failed", zap.Error(err))
-			registered = n.opts.Directory.Current() // What was written needn't be written again with each retry.
-			return
-		}
-		registered, lastRead = true, now
-	}
-	maintain()
-	err := timer.Every(ctx, directoryCheckInterval, maintain)
+	r.maintain(ctx)
+	err := timer.Every(ctx, directoryCheckInterval, func() { r.maintain(ctx) })
 	if n.opts.Load == nil || n.isGone() {
 		n.deregister(ctx)
 	}
 	return err
 }
 
+// registration is the state of a process's registration in the directory.
+type registration struct {
+	node                *Node
+	registered, failing bool
+	// lastAttempt is when the directory was last called, lastRenewal when the lease was last renewed, and lastRead when the directory
+	// was last read.
+	lastAttempt, lastRenewal, lastRead time.Time
+}
+
+// maintain renews the lease, or registers the process and reads the directory, if that is due.
+func (r *registration) maintain(ctx context.Context) {
+	n, now := r.node, time.Now()
+	r.registered = r.registered && n.opts.Directory.Current()
+	readDue := !r.registered || r.failing || now.Sub(r.lastRead) >= directoryReadInterval || n.rereadDue(now)
+	renewalDue := now.Sub(r.lastRenewal) >= n.opts.Directory.KeepAliveInterval()
+	if (!readDue && !renewalDue) || (r.failing && now.Sub(r.lastAttempt) < directoryRetryInterval) {
+		return
+	}
+	r.lastAttempt = now
+	if !readDue && n.opts.Directory.KeepAlive(ctx) == nil {
+		r.lastRenewal = now
+		return
+	}
+	err := n.syncDirectory(ctx, r.registered)
+	if r.failing = err != nil; r.failing {
+		n.opts.Log.Debug("directory sync failed", zap.Error(err))
+		r.registered = n.opts.Directory.Current() // What was written needn't be written again with each retry.
+		return
+	}
+	r.registered, r.lastRenewal, r.lastRead = true, now, now
+}
+
 // isGone reports whether this process has announced that it is gone.
 func (n *Node) isGone() bool {
 	n.mu.Lock()
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -1,6 +1,7 @@
 package memb
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"net/netip"
@@ -28,6 +29,9 @@
 	deregistrations int
 	// listErr is the error of List.
 	listErr error
+	// keepAliveInterval is a minute if it is 0; renewals counts the calls of KeepAlive.
+	keepAliveInterval time.Duration
+	renewals          int
 	// era is the store's era, registeredIn that of the last registration.
 	era          atomic.Uint64
 	registeredIn uint64
@@ -39,10 +43,15 @@
 	d.records = append(d.records, view.Listing{Record: r})
 	return nil
 }
-func (*memoryDirectory) KeepAlive(context.Context) error  { return nil }
-func (*memoryDirectory) KeepAliveInterval() time.Duration { return time.Minute }
-func (d *memoryDirectory) Current() bool                  { return d.era.Load() == d.registeredIn }
-func (d *memoryDirectory) Era() uint64                    { return d.era.Load() }
+func (d *memoryDirectory) KeepAlive(context.Context) error {
+	d.renewals++
+	return nil
+}
+func (d *memoryDirectory) KeepAliveInterval() time.Duration {
+	return cmp.Or(d.keepAliveInterval, time.Minute)
+}
+func (d *memoryDirectory) Current() bool { return d.era.Load() == d.registeredIn }
+func (d *memoryDirectory) Era() uint64   { return d.era.Load() }
 func (d *memoryDirectory) List(context.Context, bool) ([]view.Listing, error) {
 	return d.records, d.listErr
 }
@@ -177,6 +186,40 @@
 	is.Equal(d.registrations, 1)
 }
 
+// Guards against a process that isn't listed between the end of its lease and the next read of the directory: the store grants shorter
+// leases than were requested. An entry that starts then doesn't know it, and resets its flows.
+func TestLeaseIsRenewedBetweenReadsOfDirectory(t *testing.T) {
+	is := is.New(t)
+	d := &memoryDirectory{keepAliveInterval: directoryCheckInterval}
+	n := newNode(t, d)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*directoryCheckInterval)
+	defer cancel()
+	_ = n.maintainRegistration(ctx) // Ends with ctx.
+	is.True(d.renewals >= 3)
+	is.Equal(d.registrations, 1)
+}
+
+// Guards against an entry that takes the processes that are listed for all: leases may have ended while the store was away, and the seeds be gone.
+func TestStartingProcessAsksListedEntriesForPeers(t *testing.T) {
+	is := is.New(t)
+	known := newEntry(t, otherAddr, new(memoryDirectory))
+	unlisted := agentRecord("desk")
+	unlisted.Packets = netip.MustParseAddrPort("127.0.0.3:1")
+	known.onState(unlisted.Control, ctrl.State{Record: unlisted})
+	n := newNode(t, &memoryDirectory{records: []view.Listing{{Record: known.self}}})
+	for _, node := range []*Node{known, n} {
+		go func() { _ = node.opts.Link.Serve() }() // Ends when the link is closed.
+	}
+	is.NoErr(n.syncDirectory(context.Background(), true))
+	for range 100 {
+		if len(n.PossibleHolders([]uint64{route.ServiceID("desk")})) == 1 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Fail() // The entry in the directory wasn't asked.
+}
+
 // Guards against a process that doesn't notice for seconds that the store has lost changes, since it has no reason to call it.
 func TestEraIsLearnedFromHeartbeats(t *testing.T) {
 	is := is.New(t)
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -543,7 +543,7 @@
 // mergeRecords merges records from the directory or from gossip, and sends the node's state to processes that are new.
 func (n *Node) mergeRecords(records []view.Record) {
 	now := time.Now()
-	var newPeers []netip.AddrPort
+	var newPeers []view.Record
 	var contradicted []view.Record
 	n.mu.Lock()
 	for _, r := range records {
@@ -560,19 +560,41 @@
 		}
 		if n.view.Merge(r, now) && (r.State == view.Up || r.State == view.Draining) && n.peers[r.Packets] == nil {
 			n.peers[r.Packets] = &peer{lastHeartbeat: now}
-			newPeers = append(newPeers, r.Control)
+			newPeers = append(newPeers, r)
 		}
 	}
 	state := n.state()
+	starting := now.Sub(n.startedAt) <= startupPeriod
 	n.mu.Unlock()
-	if len(newPeers) > 0 {
-		n.sendState(state, newPeers)
-	}
+	n.greetPeers(state, newPeers, starting)
 	for _, r := range contradicted {
 		n.sendRecords(r.Control, []view.Record{r}) // The process refutes it.
 	}
 }
 
+// maxHelloPeers is how many of the entries that a starting process learns of at once get a hello.
+const maxHelloPeers = 3
+
+// greetPeers sends the node's state to processes that are new to it. While this process is starting, some entries among them get a hello:
+// the directory may lack processes whose leases have ended, and the seeds may be gone.
+func (n *Node) greetPeers(state ctrl.State, peers []view.Record, starting bool) {
+	var helloTo, stateTo []netip.AddrPort
+	for _, r := range peers {
+		if starting && r.Role == view.Entry && len(helloTo) < maxHelloPeers {
+			helloTo = append(helloTo, r.Control)
+			continue
+		}
+		stateTo = append(stateTo, r.Control)
+	}
+	if len(stateTo) > 0 {
+		n.sendState(state, stateTo)
+	}
+	if len(helloTo) > 0 {
+		state.RequestPeers = true
+		n.sendState(state, helloTo)
+	}
+}
+
 // isContradicted reports whether a record says that a process has ended, but heartbeats of another incarnation arrive from its address.
 // Incarnations are ordered by the time of day at their starts, so that the record may be of an earlier one. The caller holds the lock.
 func (n *Node) isContradicted(r view.Record) bool {
