--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -110,8 +110,8 @@
 	queue  *pace.Queue[flow.Key]
 	// serviceTimer measures the service times of the requests at the server.
 	serviceTimer *pace.ServiceTimer[flow.Key]
-	// serverStarted has room for one signal, sent when the server has started.
-	serverStarted chan struct{}
+	// serverStarted and serverLeaving have room for one signal, sent when the server has started, and when it has sent its shutdown notice.
+	serverStarted, serverLeaving chan struct{}
 	// waitTimes records how long requests were queued.
 	waitTimes *logs.Histogram
 	// tableCompleteAt is when the flow table begins to hold all flows of the server. incompleteSince is when it last lost some:
@@ -143,7 +143,7 @@
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
-		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1),
+		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1), serverLeaving: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
@@ -180,6 +180,7 @@
 	g.Add(func() error { return timer.Every(ctx, tickInterval, a.tick) }, func(error) { cancel() })
 	g.Add(func() error { return timer.Every(ctx, loadCheckInterval, a.reportLoad) }, func(error) { cancel() })
 	g.Add(func() error { return a.runHealthChecks(ctx) }, func(error) { cancel() })
+	g.Add(func() error { return a.watchExits(ctx) }, func(error) { cancel() })
 	g.Add(func() error { return a.maintainFlowList(ctx) }, func(error) { cancel() })
 	return g.Run()
 }
@@ -287,17 +288,6 @@
 	a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 }
 
-// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt, and resets its flows.
-func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.server.RecordShutdown(id, receivedAt) {
-		a.resetFlows(func(*flowState) bool { return true }, "the server has left")
-		a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
-		a.updateReadiness(time.Now())
-	}
-}
-
 // ServerLeft reports whether the backend server has sent its shutdown notice and no heartbeat of a later start has come.
 func (a *Agent) ServerLeft() bool {
 	a.mu.Lock()
--- /dev/null
+++ b/internal/deliv/exit.go
@@ -0,0 +1,91 @@
+package deliv
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/bergamotrun/bergamotrun/internal/server"
+)
+
+const (
+	// firstExitCheckDelay is the time that a server is given to exit after its shutdown notice was acknowledged. The time between two
+	// checks doubles up to maxExitCheckInterval: each check is a connection to the server.
+	firstExitCheckDelay  = 50 * time.Millisecond
+	maxExitCheckInterval = 800 * time.Millisecond
+	// exitCheckTimeout bounds one check.
+	exitCheckTimeout = 300 * time.Millisecond
+)
+
+// HandleShutdown processes the shutdown notice of the backend server id, which came at receivedAt. The server gets no new flows. It keeps
+// those that it has until it has ended.
+func (a *Agent) HandleShutdown(id string, receivedAt time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.server.RecordShutdown(id, receivedAt) {
+		return
+	}
+	a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
+	a.updateReadiness(time.Now())
+	select {
+	case a.serverLeaving <- struct{}{}:
+	default:
+	}
+}
+
+// watchExits waits for the end of each backend server that has sent its shutdown notice.
+func (a *Agent) watchExits(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.serverLeaving:
+		}
+		for interval := firstExitCheckDelay; ctx.Err() == nil; interval = min(2*interval, maxExitCheckInterval) {
+			sleep(ctx, interval)
+			if a.checkExit(ctx) {
+				break
+			}
+		}
+	}
+}
+
+// checkExit resets the flows of a server that is leaving and has ended. It returns false as long as a server is leaving that may not have
+// ended.
+func (a *Agent) checkExit(ctx context.Context) bool {
+	running, err := isListening(ctx, a.opts.Server)
+	if err != nil {
+		a.opts.Log.Debug("can't tell whether the backend server has ended", zap.Error(err))
+	}
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.compensatePause(now)
+	if !a.server.IsLeaving() {
+		return true // A later start has sent a heartbeat.
+	}
+	if (running || err != nil) && !a.server.IsDead(now) {
+		return false
+	}
+	a.server.RecordEnd()
+	a.resetFlows(func(*flowState) bool { return true }, "the server has left")
+	return true
+}
+
+// isListening reports whether a process accepts connections at an address. A process that has ended doesn't; if none can tell, err is set.
+func isListening(ctx context.Context, addr netip.AddrPort) (bool, error) {
+	dialer := net.Dialer{Timeout: exitCheckTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	if err != nil {
+		return false, errors.Wrap(err, "connect to the backend server")
+	}
+	return true, errors.Wrap(conn.Close(), "close connection to the backend server")
+}
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -101,14 +101,17 @@
 	return hb.ID == other.ID && hb.StartedAt.Equal(other.StartedAt)
 }
 
-// begin makes the start of a heartbeat the current one. The flows of a start that has sent its shutdown notice have ended.
+// begin makes the start of a heartbeat the current one. One that has ended before has no flows left.
 func (s *Server) begin(hb Heartbeat, now time.Time) {
 	s.previous = Heartbeat{}
-	if s.known && !s.left {
+	if s.known && !s.ended {
 		s.previous, s.otherStartSeen, s.otherStartSeenAt = s.last, true, s.lastHeartbeatAt
+		if s.left {
+			s.previous.Sequence = math.MaxUint64 // No heartbeat follows a shutdown notice.
+		}
 	}
 	s.unsettled = true
-	s.left = false
+	s.left, s.ended = false, false
 	s.firstHeartbeatAt = now
 	s.confirmed = false
 	s.earliestStart = now
@@ -226,7 +229,8 @@
 func (s *Server) Ambiguous() bool { return s.unsettled && s.previous != (Heartbeat{}) }
 
 // RecordShutdown records the shutdown notice of the server id, which came at receivedAt. It reports whether id is the server
-// of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down.
+// of the last heartbeat. A server that was first seen after receivedAt has the same id as the one that shut down. The server runs on until
+// it has ended, and keeps its flows.
 func (s *Server) RecordShutdown(id string, receivedAt time.Time) bool {
 	if !s.known || s.last.ID != id || s.firstHeartbeatAt.After(receivedAt) {
 		return false
@@ -235,5 +239,11 @@
 	return true
 }
 
+// IsLeaving reports whether the server has sent its shutdown notice and isn't known to have ended.
+func (s *Server) IsLeaving() bool { return s.left && !s.ended }
+
+// RecordEnd records that a server that was leaving has ended.
+func (s *Server) RecordEnd() { s.ended = s.left }
+
 // LastHeartbeat returns the last heartbeat; ok is false before the first one.
 func (s *Server) LastHeartbeat() (hb Heartbeat, ok bool) { return s.last, s.known }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -51,8 +51,9 @@
 type Server struct {
 	opts Options
 
-	known           bool
-	left            bool
+	known bool
+	// left means that the server has sent its shutdown notice, ended that it has ended after that.
+	left, ended     bool
 	restarts        int
 	last            Heartbeat
 	lastHeartbeatAt time.Time
@@ -130,14 +131,14 @@
 	return ReasonNone
 }
 
-// IsDead reports whether the server has certainly stopped, so that its flows are lost: it shut down, or has sent neither
+// IsDead reports whether the server has certainly stopped, so that its flows are lost: it has shut down, or has sent neither
 // heartbeats nor packets for one interval more than the heartbeat timeout.
 func (s *Server) IsDead(now time.Time) bool {
 	if !s.known {
 		return false
 	}
 	timeout := (heartbeatTimeoutIntervals + 1) * s.opts.HeartbeatInterval
-	return s.left || (now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout)
+	return s.ended || (now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout)
 }
 
 // Restarts returns how many restarts of the server are certain. Flows that were opened before EarliestStart are then lost.
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -345,6 +345,42 @@
 	is.True(s.RecordShutdown("i-1", epoch.Add(21*time.Second)))
 }
 
+// A server that has sent its shutdown notice isn't dead until it has ended, and gets no new flows. A start that follows before its end was
+// noticed loses its flows once it is settled; heartbeats that come late don't bring it back.
+func TestShutdownEndsWithServer(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	mustRecordHeartbeat(t, s, heartbeat(9), epoch)
+	s.RecordEnd()
+	is.True(!s.IsDead(epoch)) // It hasn't sent a notice.
+	is.True(s.RecordShutdown("i-1", epoch))
+	is.True(s.IsLeaving())
+	is.True(!s.IsDead(epoch))
+	is.Equal(s.RefusalReason(epoch), ReasonLeft)
+
+	next := heartbeat(1)
+	next.ID, next.StartedAt = "i-2", epoch.Add(time.Second)
+	mustRecordHeartbeat(t, s, next, epoch.Add(interval))
+	is.True(!s.IsLeaving())
+	_, err := s.RecordHeartbeat(heartbeat(10), epoch.Add(interval))
+	is.True(errors.Is(err, ErrStale))
+	for range 4 {
+		next.Sequence++
+		mustRecordHeartbeat(t, s, next, epoch.Add(time.Duration(next.Sequence)*interval))
+	}
+	is.Equal(s.Restarts(), 1)
+
+	is.True(s.RecordShutdown("i-2", epoch.Add(6*interval)))
+	s.RecordEnd()
+	is.True(s.IsDead(epoch.Add(6 * interval)))
+	next.Sequence, next.StartedAt = 1, epoch.Add(time.Minute)
+	mustRecordHeartbeat(t, s, next, epoch.Add(7*interval))
+	is.True(!s.IsDead(epoch.Add(7 * interval)))
+	next.Sequence++
+	mustRecordHeartbeat(t, s, next, epoch.Add(11*interval))
+	is.Equal(s.Restarts(), 1) // Its flows ended before.
+}
+
 // Load pattern: half of the servers crash at a crest. A crashed server returns SYNs and is idle; it must get no new flow until it has
 // started again, and one that only was full for a moment is tried again after one load report.
 func TestServerThatRefusesSynIsTriedAgain(t *testing.T) {
