--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -98,11 +98,12 @@
 	}
 	stale := registered && !n.rereadDue(time.Now())
 	listings, err := n.opts.Directory.List(ctx, stale)
-	records := n.evaluateListings(listings, stale, time.Now())
-	n.mergeRecords(records)
 	if err != nil {
+		n.mergeRecords(confirmedRecords(listings))
 		return err
 	}
+	records := n.evaluateListings(listings, stale, time.Now())
+	n.mergeRecords(records)
 	n.recordDirectoryRead(records, time.Now())
 	for _, r := range records {
 		if r.Packets == self.Packets && r.Incarnation == self.Incarnation {
@@ -150,6 +151,17 @@
 	return records
 }
 
+// confirmedRecords returns the records of listings that are confirmed.
+func confirmedRecords(listings []view.Listing) []view.Record {
+	var records []view.Record
+	for _, l := range listings {
+		if !l.Unconfirmed {
+			records = append(records, l.Record)
+		}
+	}
+	return records
+}
+
 // dropUnconfirmed forgets a process that is known only by an unconfirmed record, unless other entries hear it. The caller holds the
 // lock.
 func (n *Node) dropUnconfirmed(r view.Record, p *peer, now time.Time) {
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -186,6 +186,25 @@
 	is.Equal(d.registrations, 1)
 }
 
+// Guards against processes that stay unknown since the list ends in items that can't be read: what could be read of it is used, but doesn't
+// count as the whole list, nor as a read that was due.
+func TestPartOfDirectoryIsUsed(t *testing.T) {
+	is := is.New(t)
+	lost := agentRecord("desk")
+	lost.Packets = netip.MustParseAddrPort("127.0.0.3:1")
+	d := &memoryDirectory{
+		listErr: errors.New("list can't be read to its end"),
+		records: []view.Listing{{Record: agentRecord("desk")}, {Record: lost, Unconfirmed: true}},
+	}
+	n := newNode(t, d)
+	rereadAt := time.Now().Add(-time.Second)
+	n.rereadAt = rereadAt
+	is.True(n.syncDirectory(context.Background(), false) != nil)
+	is.Equal(len(n.PossibleHolders([]uint64{route.ServiceID("desk")})), 1)
+	is.True(n.directoryRead.IsZero())
+	is.Equal(n.rereadAt, rereadAt)
+}
+
 // Guards against a process that isn't listed between the end of its lease and the next read of the directory: the store grants shorter
 // leases than were requested. An entry that starts then doesn't know it, and resets its flows.
 func TestLeaseIsRenewedBetweenReadsOfDirectory(t *testing.T) {
