--- a/internal/local/proxy.go
+++ b/internal/local/proxy.go
@@ -48,6 +48,9 @@
 	p.link = l
 }
 
+// Faulty reports whether a fault is injected at present.
+func (p *Proxy) Faulty() bool { return p.currentLink() != Link{} }
+
 // Reset resets all open connections.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/platform/fakes"
 )
 
@@ -188,7 +189,7 @@
 }
 
 // After the store's return from an older copy, a process that is missing in the directory, has an older record there or shares its
-// lease is reported; one that has ended isn't.
+// lease is reported; one that has ended isn't, nor one whose link to the store has had a fault since before the return (seed 9119).
 func TestRecordsAreChecked(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
@@ -218,6 +219,10 @@
 	is.Equal(check(), "")
 	d.Store.PutLeased(d.RecordKey(second), newer, 1)
 	is.Equal(check(), processesListed) // They have the same lease.
+	d.Proxies[first].SetLink(local.Link{DropUp: true})
+	is.Equal(check(), "")
+	d.Proxies[first].SetLink(local.Link{})
+	is.Equal(check(), processesListed)
 	first.Kill()
 	is.Equal(check(), "")
 }
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -161,8 +161,8 @@
 }
 
 // checkRecords checks maxListingTime after the store's return to the copy c that each process has its own record in the store, not that
-// of an earlier start, under a lease that is only its own. Processes that were disturbed after markedAt, or stopped, are left out, and
-// so are all if another fault of the store began or ended meanwhile.
+// of an earlier start, under a lease that is only its own. Processes that were disturbed after markedAt, that are stopped, or whose link
+// to the store has a fault are left out, and so are all if another fault of the store began or ended meanwhile.
 func (d *deployment) checkRecords(ctx context.Context, c *fakes.Copy, restoredAt, markedAt time.Time) {
 	sleep(ctx, time.Until(restoredAt.Add(maxListingTime)))
 	now := time.Now()
@@ -171,7 +171,7 @@
 	}
 	holders := make(map[uint64]string)
 	for _, p := range d.Processes() {
-		if !p.Running(restoredAt) || !p.Undisturbed(now, now.Sub(markedAt)-time.Millisecond) {
+		if !p.Running(restoredAt) || !p.Undisturbed(now, now.Sub(markedAt)-time.Millisecond) || d.Proxies[p].Faulty() {
 			continue
 		}
 		key := d.RecordKey(p)
