--- a/tests/kinds_test.go
+++ b/tests/kinds_test.go
@@ -33,7 +33,7 @@
 	{"release", "no new flow after the acknowledgement; open flows stay", []string{"internal/deliv.TestDrainingServerGetsNoNewFlow", "internal/server.TestHeartbeatDoesNotEndDraining", "TestOpaqueCheck"}},
 	{"replace_with_reuse", "no flow reaches another service", []string{"internal/deliv.TestFlowOfAnotherServiceIsNotDelivered", "internal/server.TestHeartbeatOfEarlierStartIsRejected"}},
 	{"scale_out", "a cold server counts as slower", []string{"internal/pick.TestColdServerCountsAsSlower"}},
-	{"scale_in", "as release; a server that goes early ends its flows at once", []string{"internal/deliv.TestServerWithdrawalResetsClients"}},
+	{"scale_in", "as release; a server that leaves keeps its flows until it has ended, and their callers are told then", []string{"internal/deliv.TestServerWithdrawalResetsClientsOnceItHasEnded"}},
 	{"node_kill", "open flows are carried again", []string{"TestOpenFlowsSurviveProcessKills", "internal/relay.TestFlowIsFoundByAList"}},
 	{"node_freeze", "the silence of a process that stood still is none of others", []string{"internal/memb.TestOwnPauseDoesNotMarkPeersSilent", "internal/server.TestAgentPauseIsNotCountedAsMissingHeartbeats"}},
 	{"node_slow", "as node_freeze", []string{"internal/memb.TestOwnPauseDoesNotMarkPeersSilent"}},
