--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -98,6 +98,8 @@
 type Agent struct {
 	opts     Options
 	counters *expvar.Map
+	// meter counts the datagrams exchanged with entries and other agents.
+	meter *encap.Meter
 	// clientPort is the port at which clients receive packets.
 	clientPort uint16
 	startedAt  time.Time
@@ -150,6 +152,7 @@
 	if opts.FirstStart {
 		a.tableCompleteAt = now
 	}
+	a.meter = encap.NewMeter(a.counters)
 	a.flows.OnEvict(a.handleEviction)
 	a.clientPort = opts.ClientConn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", a.counters)
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -37,6 +37,20 @@
 	phaseClosed
 )
 
+// String returns the phase's name in logs.
+func (p flowPhase) String() string {
+	switch p {
+	case phaseOpening:
+		return "opening"
+	case phaseProbing:
+		return "probing"
+	case phaseOpen:
+		return "open"
+	default:
+		return "closed"
+	}
+}
+
 // flowState is the agent's record of a flow.
 type flowState struct {
 	phase flowPhase
@@ -56,6 +70,8 @@
 	// firstSeen is when the agent first saw the flow; saved means that the last saved list contains it.
 	firstSeen time.Time
 	saved     bool
+	// restored means that the flow is known from a saved list, and the server has sent no packet of it since.
+	restored bool
 	// serverNextSeq is the sequence number after the server's last byte, which the client will acknowledge. While the flow is
 	// opening, it is that of the server's SYN+ACK, once synAckSeen is set.
 	serverNextSeq uint32
@@ -373,7 +389,9 @@
 		a.denied.Put(k, struct{}{}, time.Now())
 	}
 	for _, k := range keys {
-		a.resetFlow(k, a.flows.Peek(k).serverNextSeq)
+		f := a.flows.Peek(k)
+		a.opts.FlowLog.Warn("flow is lost", append(a.flowFields(k, f, time.Now()), zap.String("reason", reason), zap.Bool("reset", true))...)
+		a.resetFlow(k, f.serverNextSeq)
 	}
 	if len(keys) > 0 {
 		a.opts.Log.Info("flows of the server are lost", zap.Int("flows", len(keys)), zap.String("reason", reason))
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -326,6 +326,8 @@
 			zap.String("saved", s.ServerID))
 		for i, k := range keys {
 			if a.flows.Peek(k) == nil {
+				a.opts.FlowLog.Warn("flow is lost", zap.Stringer("flow", k), zap.Bool("restored", true),
+					zap.String("reason", "saved list is of an earlier start of the server"), zap.Bool("reset", true))
 				a.resetFlow(k, s.NextSeqs[i])
 			}
 		}
@@ -347,7 +349,7 @@
 			}
 			f = a.flows.Put(k, flowState{
 				serverRestarts: a.server.Restarts(), service: service, firstSeen: now, responseSeen: true, saved: true,
-				serverNextSeq: nextSeqs[i],
+				serverNextSeq: nextSeqs[i], restored: true,
 			}, now)
 			a.setPhase(f, phaseOpen)
 		}
@@ -358,7 +360,9 @@
 func (a *Agent) restoreOpeningFlows(keys []flow.Key, service uint64, now time.Time) {
 	for _, k := range keys {
 		if a.flows.Peek(k) == nil && a.denied.Peek(k) == nil {
-			f := a.flows.Put(k, flowState{phase: phaseOpening, serverRestarts: a.server.Restarts(), service: service, firstSeen: now}, now)
+			f := a.flows.Put(k, flowState{
+				phase: phaseOpening, serverRestarts: a.server.Restarts(), service: service, firstSeen: now, restored: true,
+			}, now)
 			a.countOpenFlow(f)
 		}
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -16,6 +16,9 @@
 
 // send writes a datagram and counts failures.
 func (a *Agent) send(conn *net.UDPConn, b []byte, to netip.AddrPort) {
+	if conn == a.opts.EncapConn {
+		a.meter.RecordSent(b)
+	}
 	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
 		a.counters.Add("send_failed", 1)
 	}
@@ -24,6 +27,7 @@
 // handleDatagram processes a datagram from an entry or another agent, which starts at b[encap.HeaderSize:].
 func (a *Agent) handleDatagram(from netip.AddrPort, b []byte) {
 	b = b[encap.HeaderSize:]
+	a.meter.RecordReceived(b)
 	header, body, err := encap.Parse(b)
 	if err != nil {
 		a.counters.Add("hop_damaged", 1)
@@ -64,6 +68,9 @@
 		return
 	}
 	header := encap.Header{Kind: encap.QueryReply, Verdict: a.verdict(key, now)}
+	if f := a.flows.Peek(key); header.Verdict == seek.Denied && f != nil {
+		a.opts.FlowLog.Info("flow in the table denied", append(a.flowFields(key, f, now), zap.Stringer("entry", from))...)
+	}
 	var buf [encap.HeaderSize + flow.KeySize]byte
 	a.send(a.opts.EncapConn, header.AppendWithKey(buf[:0], key), from)
 }
@@ -132,7 +139,7 @@
 func (a *Agent) passOnOrRefuse(key flow.Key, header encap.Header, h flow.Header, b []byte, reason string) {
 	passOn := a.mayPassOn(header)
 	a.opts.FlowLog.Info("new flow not taken", zap.Stringer("flow", key), zap.String("reason", reason),
-		zap.Bool("passed_on", passOn), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
+		zap.Bool("passed_on", passOn), zap.Bool("reset", !passOn && !header.Entry.IsValid()), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
 	switch {
 	case passOn:
 		a.passOn(header, b)
@@ -200,9 +207,24 @@
 	}
 }
 
+// flowFields returns the log fields that describe the state of a flow and of its server.
+func (a *Agent) flowFields(key flow.Key, f *flowState, now time.Time) []zap.Field {
+	fields := []zap.Field{
+		zap.Stringer("flow", key), zap.Stringer("phase", f.phase), zap.Duration("age", now.Sub(f.firstSeen)), zap.Bool("restored", f.restored),
+		zap.Bool("syn_ack", f.synAckSeen), zap.Stringer("by", f.entry), zap.Int("restarts", a.server.Restarts()-f.serverRestarts),
+		zap.Bool("table_complete", a.tableComplete(now)),
+	}
+	heartbeat, packet := a.server.Silence(now)
+	return append(fields, zap.Duration("server_heartbeat", heartbeat), zap.Duration("server_packet", packet))
+}
+
 // resetLostFlow resets a flow that the server has lost, so that the client can reconnect at once.
 func (a *Agent) resetLostFlow(key flow.Key, h flow.Header, reason string) {
-	a.opts.FlowLog.Warn("flow is lost", zap.Stringer("flow", key), zap.String("reason", reason))
+	fields := []zap.Field{zap.Stringer("flow", key)}
+	if f := a.flows.Peek(key); f != nil {
+		fields = a.flowFields(key, f, time.Now())
+	}
+	a.opts.FlowLog.Warn("flow is lost", append(fields, zap.String("reason", reason), zap.Bool("reset", !h.Rst))...)
 	a.counters.Add("flow_lost", 1)
 	a.removeFlow(key)
 	a.denied.Put(key, struct{}{}, time.Now())
@@ -274,6 +296,7 @@
 			phase: phaseOpening, serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true,
 		}, now)
 	}
+	f.restored = false
 	if h.Syn && f.phase == phaseOpening {
 		f.synAckSeen = true
 		a.server.RecordOpenAccepted()
@@ -299,6 +322,9 @@
 		return
 	}
 	prev := *f
+	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "packet bounced by the backend server"); logEntry != nil {
+		logEntry.Write(append(a.flowFields(key, f, now), zap.Bool("opens", h.Opens()), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))...)
+	}
 	a.removeFlow(key)
 	if h.Opens() {
 		a.server.RecordOpenRefused(now)
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -36,9 +36,7 @@
 func (r *Relay) query(key flow.Key, agent netip.AddrPort) {
 	header := encap.Header{Kind: encap.Query, Entry: r.opts.Self}
 	var buf [encap.HeaderSize + flow.KeySize]byte
-	if _, err := r.opts.EncapConn.WriteToUDPAddrPort(header.AppendWithKey(buf[:0], key), agent); err != nil {
-		r.counters.Add("send_failed", 1)
-	}
+	r.write(header.AppendWithKey(buf[:0], key), agent)
 }
 
 // requestList requests the keys of all flows of an agent.
@@ -46,9 +44,7 @@
 	header := encap.Header{Kind: encap.ListFlows, Entry: r.opts.Self}
 	b := make([]byte, encap.HeaderSize, encap.HeaderSize+encap.MaxPacketSize)
 	header.Encode(b)
-	if _, err := r.opts.EncapConn.WriteToUDPAddrPort(encap.ListPart{RequestID: list.requestID}.Append(b), agent); err != nil {
-		r.counters.Add("send_failed", 1)
-	}
+	r.write(encap.ListPart{RequestID: list.requestID}.Append(b), agent)
 }
 
 // flowList is the state of the latest list request to an agent and of its reply.
@@ -153,6 +149,7 @@
 		return
 	}
 	if f := r.flows.Peek(key); f != nil {
+		r.logMoved(key, f, agent, "list", now)
 		f.agent, f.service = agent, header.Service
 	} else {
 		r.flows.Put(key, flowState{agent: agent, service: header.Service, openSince: now}, now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,6 +42,8 @@
 	// retransmit at least every 1.6 s.
 	unroutedTTL      = 5 * time.Second
 	maxUnroutedFlows = 20_000
+	// trafficLogInterval is the time between two log lines with the bytes exchanged with agents.
+	trafficLogInterval = 5 * time.Second
 	// rotationTimeout is the time without a client packet after which an entry counts as out of rotation.
 	rotationTimeout = 500 * time.Millisecond
 )
@@ -96,6 +98,9 @@
 type Relay struct {
 	opts     Options
 	counters *expvar.Map
+	// meter counts the datagrams exchanged with agents; loggedTraffic holds its counts at the last log line.
+	meter         *encap.Meter
+	loggedTraffic encap.Totals
 	// clientPort is the port at which clients receive packets, the same as the port of ClientConn.
 	clientPort uint16
 
@@ -144,6 +149,7 @@
 		lists: make(map[netip.AddrPort]*flowList), unrouted: flow.NewTable[time.Time](unroutedTTL, maxUnroutedFlows),
 		held: make(map[flow.Key]*heldOpen),
 	}
+	r.meter = encap.NewMeter(r.counters)
 	r.clientPort = opts.ClientConn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
 	opts.Vars.Set("packets", r.counters)
 	opts.Vars.Set("flows", expvar.Func(func() any { return r.flowCount() }))
@@ -165,6 +171,7 @@
 	g.Add(func() error { return r.serveDatagrams() }, func(error) { _ = r.opts.EncapConn.Close() })
 	g.Add(func() error { return timer.Every(ctx, releaseInterval, r.releaseHeld) }, func(error) { cancel() })
 	g.Add(func() error { return timer.Every(ctx, sweepInterval, r.sweep) }, func(error) { cancel() })
+	g.Add(func() error { return timer.Every(ctx, trafficLogInterval, r.logTraffic) }, func(error) { cancel() })
 	return g.Run()
 }
 
@@ -311,11 +318,24 @@
 // send writes the header into the first encap.HeaderSize bytes of b and sends b.
 func (r *Relay) send(header encap.Header, b []byte, to netip.AddrPort) {
 	header.Encode(b)
-	if _, err := r.opts.EncapConn.WriteToUDPAddrPort(b, to); err != nil {
+	r.write(b, to)
+}
+
+// write sends a datagram to an agent and counts failures.
+func (r *Relay) write(datagram []byte, to netip.AddrPort) {
+	r.meter.RecordSent(datagram)
+	if _, err := r.opts.EncapConn.WriteToUDPAddrPort(datagram, to); err != nil {
 		r.counters.Add("send_failed", 1)
 	}
 }
 
+// logTraffic logs the bytes exchanged with agents since the last log line, by kind of datagram.
+func (r *Relay) logTraffic() {
+	if traffic := r.meter.Trace(&r.loggedTraffic); traffic != "" {
+		r.opts.Log.Info("traffic with agents", zap.Duration("interval", trafficLogInterval), zap.String("sent_received", traffic))
+	}
+}
+
 // reset sends a reset packet for the flow of h to the client.
 func (r *Relay) reset(h flow.Header) {
 	var buf [64]byte
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -265,7 +265,8 @@
 		return
 	}
 	r.opts.FlowLog.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", !s.packetHeader.Rst),
-		zap.Duration("took", now.Sub(s.startedAt)), zap.Bool("fin", s.packetHeader.Fin), zap.Int("len", s.packetHeader.Len), zap.String("answers", s.Trace()))
+		zap.Duration("took", now.Sub(s.startedAt)), zap.Bool("fin", s.packetHeader.Fin), zap.Int("len", s.packetHeader.Len),
+		zap.Duration("oldest_answer", s.OldestVerdict(now)), zap.Int("silent", s.Silent()), zap.String("answers", s.Trace()))
 	r.counters.Add("lost", 1)
 	if !s.packetHeader.Rst {
 		r.counters.Add("reset_lost", 1)
@@ -284,6 +285,7 @@
 
 // handleDatagram dispatches a datagram from an agent.
 func (r *Relay) handleDatagram(from netip.AddrPort, b []byte) {
+	r.meter.RecordReceived(b)
 	header, body, err := encap.Parse(b)
 	if err != nil {
 		r.counters.Add("hop_damaged", 1)
@@ -328,12 +330,30 @@
 		r.advance(key, s, now)
 	}
 	if f := r.flows.Get(key, now); f != nil {
+		r.logMoved(key, f, agent, "claim", now)
 		f.agent, f.service, f.claimed = agent, service, true
 	}
 	delete(r.held, key)
 	r.counters.Add("claimed", 1)
 }
 
+// logMoved logs that an agent's message is about to change the agent of a flow in the table.
+func (r *Relay) logMoved(key flow.Key, f *flowState, to netip.AddrPort, by string, now time.Time) {
+	if f.agent == to {
+		return
+	}
+	fields := []zap.Field{
+		zap.Stringer("flow", key), zap.Stringer("from", f.agent), zap.Stringer("to", to), zap.String("by", by), zap.Bool("claimed", f.claimed),
+	}
+	if !f.openedAt.IsZero() {
+		fields = append(fields, zap.Duration("placed", now.Sub(f.openedAt)))
+	}
+	if !f.openSince.IsZero() {
+		fields = append(fields, zap.Duration("open", now.Sub(f.openSince)))
+	}
+	r.opts.FlowLog.Info("flow moved to another agent", fields...)
+}
+
 // handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow.
 func (r *Relay) handleReturn(agent netip.AddrPort, b, body []byte, now time.Time) {
 	h, ok := r.opts.Codec.Parse(body)
@@ -347,6 +367,7 @@
 		return
 	}
 	r.counters.Add("returned", 1)
+	r.opts.FlowLog.Info("packet returned by an agent", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))
 	if f := r.flows.Peek(key); f != nil && f.agent == agent {
 		r.flows.Delete(key)
 	}
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -77,10 +77,12 @@
 }
 
 type candidate struct {
-	agent    netip.AddrPort
-	verdict  Verdict
-	source   Source
-	probedAt time.Time
+	agent   netip.AddrPort
+	verdict Verdict
+	source  Source
+	// verdictAt is when a step first used the verdict.
+	verdictAt time.Time
+	probedAt  time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
 }
@@ -117,7 +119,7 @@
 		c := &s.candidates[i]
 		known[c.agent] = c
 		if c.verdict == Perhaps || c.verdict == Opening {
-			c.verdict, c.source = 0, 0
+			c.verdict, c.source, c.verdictAt = 0, 0, time.Time{}
 		}
 	}
 	var added []candidate
@@ -158,7 +160,7 @@
 func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) {
 	for i := range s.candidates {
 		if s.candidates[i].agent == agent {
-			s.candidates[i].verdict, s.candidates[i].source = verdict, source
+			s.candidates[i].verdict, s.candidates[i].source, s.candidates[i].verdictAt = verdict, source, time.Time{}
 			return
 		}
 	}
@@ -169,6 +171,11 @@
 
 // Next returns the next step at now. It records the agents of a Probe step as probed.
 func (s *Search) Next(now time.Time) Step {
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.verdict != 0 && c.verdictAt.IsZero() {
+			c.verdictAt = now
+		}
+	}
 	if agent, ok := s.holder(); ok {
 		return Step{Action: Forward, Agents: []netip.AddrPort{agent}}
 	}
@@ -231,6 +238,28 @@
 	return n
 }
 
+// OldestVerdict returns the age of the oldest verdict that a step has used, or 0 if there is none.
+func (s *Search) OldestVerdict(now time.Time) time.Duration {
+	oldest := now
+	for i := range s.candidates {
+		if at := s.candidates[i].verdictAt; !at.IsZero() && at.Before(oldest) {
+			oldest = at
+		}
+	}
+	return now.Sub(oldest)
+}
+
+// Silent returns the number of dead agents without a verdict.
+func (s *Search) Silent() int {
+	n := 0
+	for i := range s.candidates {
+		if s.candidates[i].verdict == 0 && s.candidates[i].dead {
+			n++
+		}
+	}
+	return n
+}
+
 // undecided reports whether an agent may hold the flow: it gave another verdict than Denied, or none without being dead.
 func (s *Search) undecided() bool {
 	for i := range s.candidates {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -141,6 +141,11 @@
 	return s.ended || (now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout)
 }
 
+// Silence returns the times since the last heartbeat and since the last packet of the server.
+func (s *Server) Silence(now time.Time) (heartbeat, packet time.Duration) {
+	return now.Sub(s.lastHeartbeatAt), now.Sub(s.lastPacketAt)
+}
+
 // Restarts returns how many restarts of the server are certain. Flows that were opened before EarliestStart are then lost.
 func (s *Server) Restarts() int { return s.restarts }
 
