--- a/cmd/opaque.go
+++ b/cmd/opaque.go
@@ -136,7 +136,7 @@
 	}
 	p.node = memb.New(memb.Options{
 		Self: record, Link: link, Listener: ln, Client: p.controlClient,
-		Source: platform.NewConfigSource(store, p.log), Directory: p.directory, Seeds: s.SeedAddresses(),
+		Source: platform.NewConfigSource(store, p.log), Directory: p.directory, Connector: memb.TCPConnector{}, Seeds: s.SeedAddresses(),
 		MaxConfigAge: s.Apply.Std(), Suspended: timer.TrackSuspension(), Load: opts.load, OnConfigChange: opts.onConfigChange,
 		Log: p.log, Vars: p.vars,
 	})
--- a/internal/alive/alive.go
+++ b/internal/alive/alive.go
@@ -1,7 +1,8 @@
 // Package alive decides whether a silent process has failed, by the opinions of other processes.
 //
 // A process that receives no heartbeats from another one suspects it, and asks some other processes whether they receive
-// any, as SWIM does by indirect probes. The suspect counts as failed if they confirm the silence and none contradicts.
+// any, as SWIM does by indirect probes. The suspect counts as failed if they confirm the silence and none contradicts, and
+// if its instance doesn't answer an attempt to connect: a process that stands still or is starting is silent, too.
 // While no opinion arrives it doesn't: the suspecting process may be cut off itself.
 //
 // The package does no I/O and reads no clock: the current time is passed in.
@@ -95,6 +96,8 @@
 	// last contradiction was asked.
 	contradicted   bool
 	contradictedAt time.Time
+	// unanswered is set if the suspect's instance didn't answer the last attempt to connect, answered if it did.
+	unanswered, answered bool
 	// witnesses are the processes that contradicted in the last round that had a contradiction.
 	witnesses []netip.AddrPort
 }
@@ -187,6 +190,18 @@
 	s.reports = append(s.reports, r)
 }
 
+// RecordAttempt records whether a suspect's instance answered an attempt to connect. It reports whether that differs from the last
+// attempt.
+func (t *Tracker) RecordAttempt(addr netip.AddrPort, answers bool) (changed bool) {
+	s := t.suspects[addr]
+	if s == nil {
+		return false
+	}
+	changed = s.answered != answers || s.unanswered == answers
+	s.answered, s.unanswered = answers, !answers
+	return changed
+}
+
 // Conclude evaluates the rounds whose replies have arrived or timed out, and returns the changes.
 func (t *Tracker) Conclude(others Others, now time.Time) []Decision {
 	var decisions []Decision
@@ -206,15 +221,24 @@
 // conclude evaluates the latest round.
 func (s *suspect) conclude(others Others, now time.Time) {
 	if others.Known == 0 {
-		s.failed, s.confirmedAt = true, now
+		s.failed, s.confirmedAt = s.unanswered, now
 		return
 	}
-	s.failed = s.failed && now.Sub(s.confirmedAt) <= confirmationLifetime
+	s.failed = s.failed && s.unanswered && now.Sub(s.confirmedAt) <= confirmationLifetime
 	if len(s.reports) < s.asked && now.Sub(s.askedAt) < replyTimeout {
 		return
 	}
-	silent := 0
-	var witnesses []netip.AddrPort
+	silent, witnesses := s.countOpinions()
+	switch {
+	case len(witnesses) > 0:
+		s.failed, s.contradicted, s.contradictedAt, s.witnesses = false, true, s.askedAt, witnesses
+	case silent >= others.required() && s.unanswered && now.Sub(s.askedAt) <= confirmationLifetime:
+		s.failed, s.contradicted, s.confirmedAt = true, false, s.askedAt
+	}
+}
+
+// countOpinions returns how many processes confirm the silence in the latest round, and those that contradict it.
+func (s *suspect) countOpinions() (silent int, witnesses []netip.AddrPort) {
 	for _, r := range s.reports {
 		switch r.Opinion {
 		case Heard, Stopping:
@@ -223,12 +247,7 @@
 			silent++
 		}
 	}
-	switch {
-	case len(witnesses) > 0:
-		s.failed, s.contradicted, s.contradictedAt, s.witnesses = false, true, s.askedAt, witnesses
-	case silent >= others.required() && now.Sub(s.askedAt) <= confirmationLifetime:
-		s.failed, s.contradicted, s.confirmedAt = true, false, s.askedAt
-	}
+	return silent, witnesses
 }
 
 // Failed reports whether a suspect counts as failed.
--- a/internal/alive/alive_test.go
+++ b/internal/alive/alive_test.go
@@ -55,7 +55,16 @@
 			tracker.Update([]netip.AddrPort{target})
 			round(tracker, start, c.opinions...)
 			tracker.Conclude(c.others, start.Add(replyTimeout))
+			is.True(!tracker.Failed(target)) // Nobody has tried to connect.
+			tracker.RecordAttempt(target, true)
+			tracker.Conclude(c.others, start.Add(replyTimeout))
+			is.True(!tracker.Failed(target)) // The process stands still, or is starting.
+			tracker.RecordAttempt(target, false)
+			tracker.Conclude(c.others, start.Add(replyTimeout))
 			is.Equal(tracker.Failed(target), c.failed)
+			tracker.RecordAttempt(target, true)
+			tracker.Conclude(c.others, start.Add(replyTimeout))
+			is.True(!tracker.Failed(target))
 		})
 	}
 }
@@ -84,6 +93,7 @@
 	confirm := func() *Tracker {
 		tracker := New()
 		tracker.Update([]netip.AddrPort{target})
+		tracker.RecordAttempt(target, false)
 		round(tracker, start, int(Silent), int(Silent), int(Silent))
 		decisions := tracker.Conclude(others, start)
 		is.Equal(len(decisions), 1)
--- a/internal/memb/agents.go
+++ b/internal/memb/agents.go
@@ -101,13 +101,13 @@
 	return agents, true
 }
 
-// isDead reports whether an agent counts as failed: no heartbeat came for silenceTimeout, it is not in a planned stop, and
-// other entries, if there are any, have confirmed the silence. The caller holds the lock.
+// isDead reports whether an agent counts as failed: no heartbeat came for silenceTimeout, it is not in a planned stop, other entries, if
+// there are any, have confirmed the silence, and its instance doesn't answer. The caller holds the lock.
 func (n *Node) isDead(agent netip.AddrPort, p *peer, now time.Time) bool {
 	if !p.silent || now.Sub(p.lastHeartbeat) <= silenceTimeout || p.inPlannedStop(now) {
 		return false
 	}
-	return n.view.EntryCount() <= 1 || n.suspicions.Failed(agent)
+	return n.suspicions.Failed(agent)
 }
 
 // inPlannedStop reports whether the process announced its stop less than plannedStopGrace ago.
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -98,6 +98,8 @@
 	Seeds []netip.AddrPort
 	// MaxConfigAge is how long a configuration may stay in force after a newer one was accepted.
 	MaxConfigAge time.Duration
+	// Connector attempts to connect to agents that are silent.
+	Connector Connector
 	// Suspended returns how long the machine has been suspended, which time.Since doesn't count.
 	Suspended func() time.Duration
 	// Load returns the load of an agent's backend server; nil at an entry.
@@ -135,6 +137,8 @@
 	eraChecked time.Time
 	// suspicions holds the opinions of other entries on agents that are silent here.
 	suspicions *alive.Tracker
+	// attempting has the suspects to which an attempt to connect is running.
+	attempting map[netip.AddrPort]struct{}
 	// directoryRead is when the directory was read last, directoryEra the store's era then, and eraSeen when that era was first seen.
 	// rereadAt is when the directory must be read again since it had unconfirmed records; zero if it needn't.
 	directoryRead     time.Time
@@ -181,7 +185,7 @@
 	now := time.Now()
 	n := &Node{
 		opts: opts, self: opts.Self, seeds: opts.Seeds, view: view.New(), entriesInDomain: 1,
-		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge), suspicions: alive.New(),
+		peers: make(map[netip.AddrPort]*peer), freshness: fresh.New(opts.MaxConfigAge), suspicions: alive.New(), attempting: make(map[netip.AddrPort]struct{}),
 		lastTick: now, startedAt: now, heartbeatRequested: make(chan struct{}, 1), readRequested: make(chan struct{}, 1),
 	}
 	n.lastAgeTick = n.ageClock()
--- a/internal/memb/silence_test.go
+++ b/internal/memb/silence_test.go
@@ -1,12 +1,15 @@
 package memb
 
 import (
+	"context"
 	"math"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/bergamotrun/bergamotrun/internal/alive"
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
@@ -121,6 +124,52 @@
 	is.True(!g.entries[0].Dead(otherAddr))
 }
 
+// Guards against resets of the flows of an agent that stands still, or whose start takes long: all entries miss its heartbeats, but its
+// backend server lives. Its instance still answers, by a connection or by a refusal.
+func TestSilenceOfRunningInstanceIsNotAFailure(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 4)
+	connector := g.entries[0].opts.Connector.(*stubConnector)
+	connector.answers.Store(true)
+	for _, n := range g.entries {
+		silence(n)
+	}
+	is.True(!g.deadAtFirst(testPeriod))
+	connector.answers.Store(false) // The instance has lost power since.
+	is.True(g.deadAtFirst(testPeriod))
+}
+
+// Guards against resets by an entry that can't tell whether an instance answers.
+func TestFailedAttemptToConnectIsNotAFailure(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 4)
+	g.entries[0].opts.Connector.(*stubConnector).failure = errors.New("no file descriptors are left")
+	for _, n := range g.entries {
+		silence(n)
+	}
+	is.True(!g.deadAtFirst(testPeriod))
+}
+
+// Guards against a refused connection that counts as no answer.
+func TestRefusedConnectionIsAnAnswer(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := netip.MustParseAddrPort(ln.Addr().String())
+	answers, err := TCPConnector{}.Connect(t.Context(), addr)
+	is.NoErr(err)
+	is.True(answers)
+	is.NoErr(ln.Close())
+	answers, err = TCPConnector{}.Connect(t.Context(), addr)
+	is.NoErr(err)
+	is.True(answers)
+	expired, cancel := context.WithTimeout(t.Context(), -time.Second)
+	defer cancel()
+	answers, err = TCPConnector{}.Connect(expired, addr)
+	is.NoErr(err)
+	is.True(!answers)
+}
+
 // Guards against resets on silence alone while no other entry replies, as in a rolling upgrade from a release that ignores
 // the question.
 func TestSilenceWithoutRepliesIsNotAFailure(t *testing.T) {
--- a/internal/memb/suspicion.go
+++ b/internal/memb/suspicion.go
@@ -31,10 +31,11 @@
 	silenceContradictedCounter = "silence_contradicted"
 )
 
-// questions are the queries of one round and the control addresses that get them.
+// questions are the queries of one round, the control addresses that get them, and the attempts to connect to the suspects.
 type questions struct {
-	queries []ctrl.SilenceQuery
-	to      []netip.AddrPort
+	queries  []ctrl.SilenceQuery
+	to       []netip.AddrPort
+	attempts []func()
 }
 
 // checkSuspicions updates the suspected agents and concludes the replies about them. It returns the queries that are due.
@@ -49,7 +50,7 @@
 	if len(due) == 0 {
 		return questions{}
 	}
-	q := questions{to: n.entriesToAsk(n.suspicions.Witnesses(due, maxWitnessesAsked))}
+	q := questions{to: n.entriesToAsk(n.suspicions.Witnesses(due, maxWitnessesAsked)), attempts: n.dueAttempts(due)}
 	for suspects := range slices.Chunk(due, ctrl.MaxSuspects) {
 		round := n.suspicions.Ask(suspects, len(q.to), now)
 		q.queries = append(q.queries, ctrl.SilenceQuery{Round: round, Suspects: suspects})
@@ -115,8 +116,11 @@
 	return to
 }
 
-// sendQuestions sends the queries of a round.
+// sendQuestions sends the queries of a round and starts its attempts to connect.
 func (n *Node) sendQuestions(q questions) {
+	for _, attempt := range q.attempts {
+		go attempt()
+	}
 	for _, query := range q.queries {
 		if err := ctrl.Broadcast(n.opts.Link, q.to, ctrl.KindSilenceQuery, query); err != nil {
 			n.opts.Log.Debug("silence query not sent", zap.Error(err))
--- a/tests/opaque_test.go
+++ b/tests/opaque_test.go
@@ -23,6 +23,8 @@
 	slotSlope
 	slotStop
 	slotOdd
+	slotStandstill
+	slotReusedPorts
 )
 
 // A deployment for opaque flows must answer all requests and keep all flows while all entries and one agent are replaced
