--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -143,7 +143,7 @@
 }
 
 // handleListedFlow records that an agent listed a flow, as held by its backend server or as opening. A held flow is added to
-// the flow table.
+// the flow table. One in the table stays at its agent unless that has failed: the list may name an earlier flow with the same key.
 func (r *Relay) handleListedFlow(agent netip.AddrPort, key flow.Key, header encap.Header, now time.Time) {
 	s := r.searches[key]
 	if s != nil {
@@ -152,10 +152,14 @@
 	if header.Verdict != seek.Held {
 		return
 	}
-	if f := r.flows.Peek(key); f != nil {
-		r.logMoved(key, f, agent, "list", now)
-		f.agent, f.service = agent, header.Service
-	} else {
+	switch f := r.flows.Peek(key); {
+	case f != nil && f.agent == agent:
+	case f != nil && !r.opts.Cluster.Dead(f.agent):
+		r.counters.Add("move_ignored", 1)
+	default:
+		if f != nil {
+			r.logMoved(key, f, agent, "list", now)
+		}
 		r.flows.Put(key, flowState{agent: agent, service: header.Service, openSince: now}, now)
 	}
 	if s != nil {
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -339,7 +339,13 @@
 		s.RecordVerdict(agent, seek.Held, seek.Claimed)
 		r.advance(key, s, now)
 	}
-	if f := r.flows.Get(key, now); f != nil {
+	switch f := r.flows.Get(key, now); {
+	case f == nil:
+	case f.agent != agent && !f.openSince.IsZero() && !r.opts.Cluster.Dead(f.agent):
+		// The client's later packets went to another agent, which hasn't returned them: the claim is late, or of a server that the
+		// client didn't choose.
+		r.counters.Add("move_ignored", 1)
+	default:
 		r.logMoved(key, f, agent, "claim", now)
 		f.agent, f.service, f.claimed = agent, service, true
 	}
