--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -44,6 +44,10 @@
 		return
 	}
 	f := r.flows.Get(key, now)
+	if f != nil && !f.mayBeOpenedBy(h, now) {
+		r.flows.Delete(key)
+		f = nil
+	}
 	avoid := netip.AddrPort{}
 	if f != nil && (f.retransmissions >= h.AckNumber || now.Sub(f.openSince) < maxOpeningTime) {
 		r.sendOpen(f.agent, netip.AddrPort{}, f.service, b)
@@ -57,6 +61,15 @@
 	}
 }
 
+// mayBeOpenedBy reports whether a SYN may be a copy of the one that opened the flow. Otherwise its client uses the addresses and ports of an
+// earlier flow again.
+func (f *flowState) mayBeOpenedBy(h flow.Header, now time.Time) bool {
+	if !f.openedAt.IsZero() {
+		return f.synSeq == h.Seq
+	}
+	return now.Sub(f.openSince) < maxOpeningTime
+}
+
 // placeFlow chooses an agent for a new flow and sends it the SYN. It returns false if no agent accepts new flows.
 func (r *Relay) placeFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, avoid netip.AddrPort, now time.Time) bool {
 	service := rt.ServiceForHash(key.Hash())
@@ -75,7 +88,7 @@
 		refusals = f.refusals
 	}
 	r.flows.Put(key, flowState{
-		agent: first, service: route.ServiceID(service), openedAt: now, retransmissions: h.AckNumber, refusals: refusals, route: rt.Name,
+		agent: first, service: route.ServiceID(service), openedAt: now, synSeq: h.Seq, retransmissions: h.AckNumber, refusals: refusals, route: rt.Name,
 	}, now)
 	r.opts.Cluster.RecordOpen(first)
 	r.counters.Add("opened", 1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,6 +130,8 @@
 	// openedAt is when this entry sent the flow's SYN to the agent; it is zero if an agent reported the flow, whose earlier requests
 	// this entry then hasn't seen.
 	openedAt time.Time
+	// synSeq is the sequence number of the SYN, if openedAt is set.
+	synSeq uint32
 	// retransmissions is the highest SYN retransmission number seen; the first transmission has number 0.
 	retransmissions uint32
 	// openSince is since when this entry has known that the flow is open: it sent a later packet than the SYN to the agent, or
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -26,6 +26,9 @@
 	// searchLifetime is how long the verdicts of an unsuccessful search are reused. A search that was paused for that time is
 	// removed.
 	searchLifetime = 5 * time.Second
+	// maxRetransmissionInterval is the longest time between two packets of a client that awaits a response. The verdicts of a search are not
+	// reused for a later packet, which may be of a later flow with the same key.
+	maxRetransmissionInterval = 2 * time.Second
 	// resumeInterval is how long a paused search waits for the client's next packet before it goes on without one. Flow lists are
 	// requested at most that often.
 	resumeInterval = minListInterval
@@ -37,8 +40,9 @@
 	startedAt time.Time
 	service   uint64
 	route     string
-	// packetHeader is the header of the newest client packet.
+	// packetHeader is the header of the newest client packet, which came at packetAt.
 	packetHeader flow.Header
+	packetAt     time.Time
 	// packets are the queued client packets, each preceded by encap.HeaderSize bytes for an encap.Header.
 	packets [][]byte
 	timer   *time.Timer
@@ -53,7 +57,7 @@
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
 func (r *Relay) findHolder(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	s := r.searches[key]
-	if s != nil && s.expired(now) {
+	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval) {
 		r.removeSearch(key, s)
 		s = nil
 	}
@@ -66,7 +70,7 @@
 		r.searches[key] = s
 		r.counters.Add("searched", 1)
 	}
-	s.packetHeader, s.unattended = h, false
+	s.packetHeader, s.packetAt, s.unattended = h, now, false
 	s.queuePacket(b)
 	if s.paused {
 		r.resume(key, s, rt, now)
@@ -115,7 +119,7 @@
 // newSearch returns a search among the agents of the route's services. A nil route means that there is no configuration
 // yet; then all agents are searched.
 func (r *Relay) newSearch(rt *route.Route, now time.Time) *search {
-	s := &search{startedAt: now, paused: true, allServices: rt == nil}
+	s := &search{startedAt: now, packetAt: now, paused: true, allServices: rt == nil}
 	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now)
 	if rt != nil {
 		s.route, s.service = rt.Name, route.ServiceID(rt.Targets[0].Service)
