--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -22,6 +22,8 @@
 	// releaseInterval is how often the entry looks for agents that accept held SYNs.
 	releaseInterval = 10 * time.Millisecond
 	maxHeldOpens    = 4096
+	// maxSynCopies is how many copies of a SYN a client sends.
+	maxSynCopies = 3
 	// maxRefusals is how many returned SYNs of a flow are sent to another agent at once. After that the flow is held.
 	maxRefusals = 3
 )
@@ -34,13 +36,29 @@
 	since  time.Time
 	// sent is set if a copy of the SYN was sent to an agent, whose server may have accepted it.
 	sent bool
+	// copies has a bit for each copy of the SYN that came to this entry. Another entry may have opened the flow by a missing one.
+	copies uint32
 }
 
+// allCopies is the value of heldOpen.copies with the SYN and both retransmissions.
+const allCopies = 1<<maxSynCopies - 1
+
+// record records the arrival of a copy of the SYN.
+func (o *heldOpen) record(h flow.Header) {
+	if h.AckNumber < maxSynCopies {
+		o.copies |= 1 << h.AckNumber
+	}
+}
+
+// mayBeOpen reports whether a server may have accepted a copy of the SYN.
+func (o *heldOpen) mayBeOpen() bool { return o.sent || o.copies != allCopies }
+
 // openFlow sends a SYN to the agent chosen for the flow. A retransmission avoids the agent that left the previous SYN
 // unanswered, if there is another one. A duplicate goes to the same agent, and so does a retransmission that is late: the client
 // has received a response since.
 func (r *Relay) openFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
-	if r.held[key] != nil {
+	if held := r.held[key]; held != nil {
+		held.record(h)
 		return
 	}
 	f := r.flows.Get(key, now)
@@ -138,7 +156,9 @@
 		return
 	}
 	r.counters.Add("held", 1)
-	r.held[key] = &heldOpen{header: h, packet: slices.Clone(b), since: now, sent: r.flows.Peek(key) != nil}
+	held := &heldOpen{header: h, packet: slices.Clone(b), since: now, sent: r.flows.Peek(key) != nil}
+	held.record(h)
+	r.held[key] = held
 }
 
 // releaseHeld sends the held SYNs to agents that accept new flows, the oldest first. Those that have been held for maxHoldTime are
@@ -171,8 +191,8 @@
 		r.counters.Add("released", 1)
 	case waited >= maxHoldTime:
 		r.counters.Add("unserved", 1)
-		r.opts.FlowLog.Warn("no backend server for a new flow", zap.Stringer("flow", key), zap.String("route", rt.Name), zap.Duration("waited", waited), zap.Bool("reset", !held.sent))
-		if !held.sent {
+		r.opts.FlowLog.Warn("no backend server for a new flow", zap.Stringer("flow", key), zap.String("route", rt.Name), zap.Duration("waited", waited), zap.Bool("reset", !held.mayBeOpen()))
+		if !held.mayBeOpen() {
 			r.reset(held.header)
 		}
 	default:
