--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -210,9 +210,13 @@
 	ofRoute := s.Unanswered()
 	s.Update(all, now)
 	version := configVersion(r.opts.Cluster.Table())
+	isNewest := r.opts.Cluster.ConfigAge() < now.Sub(s.startedAt)
 	for _, agent := range s.Unanswered() {
 		// With this configuration version an agent of another service can't have opened a flow of the route since, so its list
-		// is still valid.
+		// is still valid unless a newer configuration is in force elsewhere.
+		if !isNewest {
+			break
+		}
 		if list := r.lists[agent]; list != nil && list.denies(key, version) && !slices.Contains(ofRoute, agent) {
 			s.RecordVerdict(agent, seek.Denied, seek.EarlierList)
 		}
