--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -288,7 +288,15 @@
 	maxHelloRecords = 10 * ctrl.MaxPeerRecords
 )
 
-// replyToHello sends a process the records of processes that are up, or only those of entries if the requester is an agent.
+// mayRun reports whether a process may be running, or come back: an agent may hold flows while it is silent or restarts as planned.
+func (p *peer) mayRun(r view.Record) bool {
+	if r.Role == view.Agent {
+		return r.State == view.Up || r.State == view.Draining
+	}
+	return r.State == view.Up && !p.silent
+}
+
+// replyToHello sends a process the records of processes that may run, or only those of entries if the requester is an agent.
 func (n *Node) replyToHello(to netip.AddrPort, requester view.Record) {
 	now := time.Now()
 	n.mu.Lock()
@@ -302,7 +310,7 @@
 	records := []view.Record{n.self}
 	for a, p := range n.peers { // The order of map iteration is random.
 		r, ok := n.view.Get(a)
-		if ok && r.State == view.Up && !p.silent && (requester.Role == view.Entry || r.Role == view.Entry) && len(records) < maxHelloRecords {
+		if ok && p.mayRun(r) && (requester.Role == view.Entry || r.Role == view.Entry) && len(records) < maxHelloRecords {
 			records = append(records, r)
 		}
 	}
