--- a/internal/alive/alive.go
+++ b/internal/alive/alive.go
@@ -232,11 +232,21 @@
 	switch {
 	case len(witnesses) > 0:
 		s.failed, s.contradicted, s.contradictedAt, s.witnesses = false, true, s.askedAt, witnesses
-	case silent >= others.required() && s.unanswered && now.Sub(s.askedAt) <= confirmationLifetime:
+	case silent >= others.required() && s.unanswered && now.Sub(s.askedAt) <= confirmationLifetime && !s.awaitsWitness(now):
 		s.failed, s.contradicted, s.confirmedAt = true, false, s.askedAt
 	}
 }
 
+// awaitsWitness reports whether a process that contradicted lately hasn't replied in the latest round.
+func (s *suspect) awaitsWitness(now time.Time) bool {
+	if s.contradictedAt.IsZero() || now.Sub(s.contradictedAt) > confirmationLifetime {
+		return false
+	}
+	return slices.ContainsFunc(s.witnesses, func(w netip.AddrPort) bool {
+		return !slices.ContainsFunc(s.reports, func(r Report) bool { return r.From == w })
+	})
+}
+
 // countOpinions returns how many processes confirm the silence in the latest round, and those that contradict it.
 func (s *suspect) countOpinions() (silent int, witnesses []netip.AddrPort) {
 	for _, r := range s.reports {
