--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -146,10 +146,7 @@
 // the flow table. One in the table stays at its agent unless that has failed: the list may name an earlier flow with the same key.
 func (r *Relay) handleListedFlow(agent netip.AddrPort, key flow.Key, header encap.Header, now time.Time) {
 	s := r.searches[key]
-	if s != nil {
-		s.RecordVerdict(agent, header.Verdict, seek.List)
-	}
-	if header.Verdict != seek.Held {
+	if s != nil && !s.RecordVerdict(agent, header.Verdict, seek.List) || header.Verdict != seek.Held {
 		return
 	}
 	switch f := r.flows.Peek(key); {
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -157,17 +157,24 @@
 }
 
 // RecordVerdict records an agent's verdict and its source. An agent that isn't a candidate becomes one only by Held or
-// Opening.
-func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) {
+// Opening. One that has returned a packet of the flow can't revoke that by a reply or list, which may be of an earlier flow with the same
+// key, but by a claim. It reports whether the verdict counts.
+func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) bool {
 	for i := range s.candidates {
-		if s.candidates[i].agent == agent {
-			s.candidates[i].verdict, s.candidates[i].source, s.candidates[i].verdictAt = verdict, source, time.Time{}
-			return
+		c := &s.candidates[i]
+		if c.agent != agent {
+			continue
+		}
+		if c.verdict == Denied && c.source == Returned && source != Returned && source != Claimed {
+			return false
 		}
+		c.verdict, c.source, c.verdictAt = verdict, source, time.Time{}
+		return true
 	}
 	if verdict == Held || verdict == Opening {
 		s.candidates = append(s.candidates, candidate{agent: agent, verdict: verdict, source: source})
 	}
+	return true
 }
 
 // Next returns the next step at now. It records the agents of a Probe step as probed.
