--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -286,14 +286,15 @@
 }
 
 // rejectUnrouted resets the flow of a packet whose destination has no route. If the configuration is older than maxConfigAge,
-// it may lack a new route: the packet is dropped and the configuration is refreshed. An open flow, which an entry with a newer
-// configuration may have opened, is reset only if the configuration was confirmed after a packet of the flow had come.
+// it may lack a new route: the packet is dropped and the configuration is refreshed. A flow that an entry with a newer configuration
+// may have opened is reset only if the configuration was confirmed after a packet of the flow had come.
 func (r *Relay) rejectUnrouted(h flow.Header, now time.Time) {
 	age := r.opts.Cluster.ConfigAge()
 	if age > maxConfigAge {
 		r.opts.Cluster.RefreshConfig()
 	}
-	if age > maxConfigAge || (!h.Opens() && !r.seenUnroutedBefore(h.KeyFromClient(), now.Add(-age), now)) {
+	isNew := h.Opens() && h.AckNumber == 0
+	if age > maxConfigAge || (!isNew && !r.seenUnroutedBefore(h.KeyFromClient(), now.Add(-age), now)) {
 		r.counters.Add("unrouted_kept_silent", 1)
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -699,6 +699,18 @@
 	}
 }
 
+// Guards against the reset of a flow that another entry, with a newer configuration, has opened by an earlier copy of its SYN.
+func TestRetransmittedSynWithoutRouteIsNotReset(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.cluster.table = route.NewTable(6, nil, time.Second)
+	tr.cluster.age = time.Second
+	tr.sendFromClient(1, flow.Header{Syn: true, AckNumber: 1})
+	tr.True(!tr.receivesReset())
+	tr.cluster.age = 0 // Confirmed since.
+	tr.sendFromClient(2, flow.Header{Syn: true, AckNumber: 2})
+	tr.True(tr.receivesReset())
+}
+
 // Guards against callers that wait until their deadline on a flow whose route was removed.
 func TestOpenFlowOfRemovedRouteIsReset(t *testing.T) {
 	tr := newTestRelay(t)
