--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -76,6 +76,8 @@
 	// opening, it is that of the server's SYN+ACK, once synAckSeen is set.
 	serverNextSeq uint32
 	synAckSeen    bool
+	// serverSeqKnown means that serverNextSeq has been set, by a packet of the server or by a saved list.
+	serverSeqKnown bool
 	// clientNextSeq is the sequence number after the client's last byte.
 	clientNextSeq  uint32
 	clientDataSeen bool
@@ -141,6 +143,27 @@
 	}
 }
 
+const (
+	// maxAckDistance is how far a client's acknowledgement may be from serverNextSeq. Packets of the flow may be late, by much more than
+	// maxUnackedBytes.
+	maxAckDistance = 1 << 24
+	// maxRestoredAckDistance applies to flows of a saved list: the server may have sent any number of bytes since it was saved.
+	maxRestoredAckDistance = 1 << 28
+)
+
+// isOtherFlow reports whether a client's packet h certainly belongs to another flow with the same key: it acknowledges bytes that
+// the server never sent on this one. Until the handshake is complete, handshakeWith decides.
+func (f *flowState) isOtherFlow(h flow.Header) bool {
+	if !h.Ack || !f.serverSeqKnown || f.phase != phaseOpen && f.phase != phaseClosed {
+		return false
+	}
+	limit := uint32(maxAckDistance)
+	if f.restored {
+		limit = maxRestoredAckDistance
+	}
+	return h.AckNumber-f.serverNextSeq+limit > 2*limit
+}
+
 // awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
 func (f *flowState) awaitsServer() bool {
 	return f.phase == phaseProbing || f.phase == phaseOpening && !f.synAckSeen
@@ -306,7 +329,9 @@
 // handleServerData processes a packet of the server. The first bytes after a request are the start of the response and
 // free the request's slot.
 func (a *Agent) handleServerData(key flow.Key, f *flowState, h flow.Header, now time.Time) {
-	f.serverNextSeq = h.Seq + uint32(h.Len)
+	if !h.Rst && f.phase != phaseClosed { // Replies on a flow that has ended may have the numbers of another flow.
+		f.serverNextSeq, f.serverSeqKnown = h.Seq+uint32(h.Len), true
+	}
 	if h.Fin {
 		f.serverFin = true
 	}
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -349,7 +349,7 @@
 			}
 			f = a.flows.Put(k, flowState{
 				serverRestarts: a.server.Restarts(), service: service, firstSeen: now, responseSeen: true, saved: true,
-				serverNextSeq: nextSeqs[i], restored: true,
+				serverNextSeq: nextSeqs[i], serverSeqKnown: true, restored: true,
 			}, now)
 			a.setPhase(f, phaseOpen)
 		}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -179,6 +179,11 @@
 // probed: the server bounces packets of flows that it doesn't hold.
 func (a *Agent) handleFlowPacket(from netip.AddrPort, header encap.Header, h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
+	if f := a.flows.Peek(key); f != nil && f.isOtherFlow(h) {
+		a.logOtherFlow(key, f, h, now)
+		a.returnToEntry(b, header, from)
+		return
+	}
 	f := a.flows.Get(key, now)
 	switch {
 	case f != nil && f.phase != phaseProbing && (f.serverRestarts != a.server.Restarts() || a.server.IsDead(now)):
@@ -207,6 +212,13 @@
 	}
 }
 
+// logOtherFlow logs that a client's packet h isn't of the flow f that has its key.
+func (a *Agent) logOtherFlow(key flow.Key, f *flowState, h flow.Header, now time.Time) {
+	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "packet of another flow with the same key"); logEntry != nil {
+		logEntry.Write(append(a.flowFields(key, f, now), zap.Uint32("ack", h.AckNumber), zap.Uint32("server_next", f.serverNextSeq))...)
+	}
+}
+
 // flowFields returns the log fields that describe the state of a flow and of its server.
 func (a *Agent) flowFields(key flow.Key, f *flowState, now time.Time) []zap.Field {
 	fields := []zap.Field{
@@ -316,11 +328,18 @@
 // flow.
 func (a *Agent) handleBounced(h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
-	f := a.flows.Get(key, now)
+	f := a.flows.Peek(key)
 	if f == nil {
 		a.counters.Add("bounced_unknown", 1)
 		return
 	}
+	if f.isOtherFlow(h) {
+		a.logOtherFlow(key, f, h, now)
+		if f.entry.IsValid() {
+			a.returnToEntry(b, encap.Header{Service: f.service}, f.entry)
+		}
+		return
+	}
 	prev := *f
 	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "packet bounced by the backend server"); logEntry != nil {
 		logEntry.Write(append(a.flowFields(key, f, now), zap.Bool("opens", h.Opens()), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))...)
@@ -338,7 +357,8 @@
 	if prev.phase == phaseClosed {
 		return // Both ends have closed the flow; a late packet needs no reply.
 	}
-	if prev.phase == phaseOpen {
+	// A flow of a saved list may have ended while no agent ran, and its key be that of a flow at another server.
+	if prev.phase == phaseOpen && !prev.restored {
 		a.resetLostFlow(key, h, "backend server doesn't hold it any more")
 		return
 	}
