--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -67,6 +67,8 @@
 	store   *memoryStore
 	// server, entry, fallback and client receive what the agent sends. fallback stands for the fallback agent of new flows.
 	server, entry, fallback, client *net.UDPConn
+	// running accepts connections at the server's address, as long as the server hasn't ended.
+	running net.Listener
 }
 
 func newTestEnv(t *testing.T, firstStart bool) *testEnv {
@@ -75,8 +77,8 @@
 		Name: "r", Address: service, Targets: []route.Target{{Service: "desk", Weight: 1}},
 		Objective: time.Second, Timeout: 3 * time.Second,
 	}}, 10*time.Second)}
-	env.server, env.entry, env.fallback =
-		ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
+	env.listenAsServer(t)
+	env.entry, env.fallback = ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
 	encapConn, clientConn := ptest.Listen(t, "127.0.0.1:0"), ptest.Listen(t, "127.0.0.1:0")
 	env.client = ptest.Listen(t, netip.AddrPortFrom(client.Addr(), ptest.Addr(clientConn).Port()).String())
 	env.agent = New(Options{
@@ -87,6 +89,22 @@
 	return env
 }
 
+// listenAsServer opens the server's sockets, which have the same port number.
+func (env *testEnv) listenAsServer(t *testing.T) {
+	const attempts = 20
+	for range attempts {
+		env.server = ptest.Listen(t, "127.0.0.1:0")
+		running, err := net.Listen("tcp4", ptest.Addr(env.server).String())
+		if err == nil {
+			env.running = running
+			t.Cleanup(func() { _ = running.Close() })
+			return
+		}
+		t.Logf("another process has the TCP port: %v", err)
+	}
+	t.Fatal("no port is free for both UDP and TCP")
+}
+
 // receiveHeartbeat passes a heartbeat of the server to the agent, modified by change unless it is nil.
 func (env *testEnv) receiveHeartbeat(change func(*server.Heartbeat)) {
 	env.Helper()
@@ -498,8 +516,6 @@
 // meanwhile, and against clients that aren't told once it has ended.
 func TestServerWithdrawalResetsClientsOnceItHasEnded(t *testing.T) {
 	env := newTestEnv(t, true)
-	running, err := net.Listen("tcp4", ptest.Addr(env.server).String())
-	env.NoErr(err)
 	env.receiveHeartbeat(nil)
 	env.openFlow()
 	env.receiveFromServer(5, flow.Header{Ack: true, Seq: 7, Len: 50})
@@ -517,7 +533,7 @@
 	env.receiveFromServer(7, flow.Header{Ack: true, Seq: 57, Len: 50})
 	env.Equal(env.read(env.client), []byte{7})
 
-	env.NoErr(running.Close())
+	env.NoErr(env.running.Close())
 	env.True(env.agent.checkExit(context.Background()))
 	env.Equal(env.read(env.client), []byte{'R', 107})
 	env.Equal(env.verdict(), seek.Denied)
@@ -526,6 +542,7 @@
 // The end of a server is noticed without a packet or heartbeat.
 func TestEndOfServerIsNoticed(t *testing.T) {
 	env := newTestEnv(t, true)
+	env.NoErr(env.running.Close())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = env.agent.watchExits(ctx) }() // Ends with ctx.
@@ -546,9 +563,6 @@
 // A server that leaves and whose process hangs counts as ended once it is silent for as long as one that has failed.
 func TestHungServerThatLeavesHasEnded(t *testing.T) {
 	env := newTestEnv(t, true)
-	running, err := net.Listen("tcp4", ptest.Addr(env.server).String())
-	env.NoErr(err)
-	defer func() { _ = running.Close() }()
 	env.receiveHeartbeat(nil)
 	env.agent.HandleShutdown("i-1", time.Now())
 	env.True(!env.agent.checkExit(context.Background()))
