--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -76,6 +76,10 @@
 	// opening, it is that of the server's SYN+ACK, once synAckSeen is set.
 	serverNextSeq uint32
 	synAckSeen    bool
+	// chosen means that the client has acknowledged the server's SYN+ACK, so that the server holds the flow once the packet arrives.
+	chosen bool
+	// wasOpen means that the server may have held the flow before it was closed.
+	wasOpen bool
 	// serverSeqKnown means that serverNextSeq has been set, by a packet of the server or by a saved list.
 	serverSeqKnown bool
 	// clientNextSeq is the sequence number after the client's last byte.
@@ -96,6 +100,9 @@
 
 // setPhase changes a flow's phase and updates the number of open flows.
 func (a *Agent) setPhase(f *flowState, phase flowPhase) {
+	if phase == phaseClosed {
+		f.wasOpen = f.wasOpen || f.phase == phaseOpen || f.phase == phaseOpening && f.chosen
+	}
 	f.phase = phase
 	switch {
 	case phase == phaseOpen:
@@ -143,6 +150,11 @@
 	}
 }
 
+// recordChoice records whether a client's packet shows that the client has chosen this agent's server.
+func (f *flowState) recordChoice(h flow.Header) {
+	f.chosen = f.chosen || f.handshakeWith(h) == choseServer
+}
+
 const (
 	// maxAckDistance is how far a client's acknowledgement may be from serverNextSeq. Packets of the flow may be late, by much more than
 	// maxUnackedBytes.
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -27,7 +27,7 @@
 	minUnsavedFraction = 0.1
 	// saveTimeout bounds the final save at shutdown.
 	saveTimeout = 300 * time.Millisecond
-	// closedFlowTTL is how long after its last packet a closed flow is listed. Either end retransmits what is missing at least
+	// closedFlowTTL is how long after its last packet a closed flow counts as held. Either end retransmits what is missing at least
 	// every 1.6 s.
 	closedFlowTTL = 2 * time.Second
 	// maxHandshakeTime is how long a client waits for the response to its first SYN.
@@ -114,19 +114,16 @@
 // flowKeys returns the keys of the flows that the server may hold, in the order in which they are listed.
 func (a *Agent) flowKeys(now time.Time) []keyGroup {
 	var held, opening, perhaps []flow.Key
-	if !a.server.IsDead(now) {
-		a.flows.Each(func(k flow.Key, f *flowState) {
-			switch {
-			case f.phase == phaseProbing:
-				perhaps = append(perhaps, k)
-			case f.serverRestarts != a.server.Restarts():
-			case f.phase == phaseOpen, f.phase == phaseClosed && a.flows.UsedSince(k, now.Add(-closedFlowTTL)):
-				held = append(held, k)
-			case f.phase == phaseOpening:
-				opening = append(opening, k)
-			}
-		})
-	}
+	a.flows.Each(func(k flow.Key, f *flowState) {
+		switch a.flowVerdict(k, f, now) {
+		case seek.Held:
+			held = append(held, k)
+		case seek.Opening:
+			opening = append(opening, k)
+		case seek.Perhaps:
+			perhaps = append(perhaps, k)
+		}
+	})
 	return []keyGroup{{seek.Perhaps, perhaps}, {seek.Opening, opening}, {seek.Held, held}}
 }
 
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -79,14 +79,27 @@
 func (a *Agent) verdict(key flow.Key, now time.Time) seek.Verdict {
 	f := a.flows.Peek(key)
 	switch {
-	case f == nil && a.serverMayHold(key, now):
+	case f != nil:
+		return a.flowVerdict(key, f, now)
+	case a.serverMayHold(key, now):
 		return seek.Perhaps
-	case f == nil || f.serverRestarts != a.server.Restarts() && f.phase != phaseProbing || a.server.IsDead(now):
+	}
+	return seek.Denied
+}
+
+// flowVerdict returns whether the server holds a flow that is in the table.
+func (a *Agent) flowVerdict(key flow.Key, f *flowState, now time.Time) seek.Verdict {
+	switch {
+	case a.server.IsDead(now):
 		return seek.Denied
-	case f.phase == phaseOpening:
-		return seek.Opening
 	case f.phase == phaseProbing:
 		return seek.Perhaps
+	case f.serverRestarts != a.server.Restarts():
+		return seek.Denied
+	case f.phase == phaseOpening:
+		return seek.Opening
+	case f.phase == phaseClosed && !(f.wasOpen && a.flows.UsedSince(key, now.Add(-closedFlowTTL))):
+		return seek.Denied
 	}
 	return seek.Held
 }
@@ -204,6 +217,7 @@
 		a.counters.Add("tried", 1)
 	}
 	f.entry = from
+	f.recordChoice(h)
 	if header.Kind == encap.Probe {
 		a.sendProbe(key, f, h, now)
 	}
