--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -181,6 +181,26 @@
 	return f.phase == phaseProbing || f.phase == phaseOpening && !f.synAckSeen
 }
 
+// isHeld reports whether the server holds the flow or held it until its end, by what the agent has seen since its start.
+func (f *flowState) isHeld() bool {
+	switch {
+	case f == nil || f.restored:
+		return false
+	case f.phase == phaseClosed:
+		return f.wasOpen
+	}
+	return f.phase == phaseOpen || f.phase == phaseOpening && f.chosen
+}
+
+// mayHaveEnded reports whether a packet of the server may be the reply to a FIN on a flow that has ended, so that it doesn't show that the
+// server holds the flow. If the agent has seen no packet of the client, the reply may be to one that an earlier process sent on.
+func (f *flowState) mayHaveEnded(h flow.Header) bool {
+	if h.Syn || h.Fin || h.Len > 0 || !f.awaitsServer() && !f.restored {
+		return false
+	}
+	return f.clientFin || !f.entry.IsValid()
+}
+
 // isConfirmedBy reports whether a packet of the server shows an entry that this is the flow's server. While entries probe, a
 // SYN+ACK doesn't: servers that the client didn't choose send it, too.
 func (f *flowState) isConfirmedBy(h flow.Header) bool { return !h.Rst && !(h.Syn && f.probed) }
@@ -392,9 +412,7 @@
 	if !f.entry.IsValid() {
 		return
 	}
-	header := encap.Header{Kind: encap.Claim, Service: f.service}
-	var buf [encap.HeaderSize + flow.KeySize]byte
-	a.send(a.opts.EncapConn, header.AppendWithKey(buf[:0], key), f.entry)
+	a.sendKey(encap.Header{Kind: encap.Claim, Service: f.service}, key, f.entry)
 }
 
 // keepFlowsSince assigns the flows that were first seen after start to the latest start of the server: it accepts flows before
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -71,8 +71,13 @@
 	if f := a.flows.Peek(key); header.Verdict == seek.Denied && f != nil {
 		a.opts.FlowLog.Info("flow in the table denied", append(a.flowFields(key, f, now), zap.Stringer("entry", from))...)
 	}
+	a.sendKey(header, key, from)
+}
+
+// sendKey sends an entry a datagram about a flow that consists of the header and the key.
+func (a *Agent) sendKey(header encap.Header, key flow.Key, to netip.AddrPort) {
 	var buf [encap.HeaderSize + flow.KeySize]byte
-	a.send(a.opts.EncapConn, header.AppendWithKey(buf[:0], key), from)
+	a.send(a.opts.EncapConn, header.AppendWithKey(buf[:0], key), to)
 }
 
 // verdict returns whether the server holds a flow, as far as the agent has observed it.
@@ -306,22 +311,49 @@
 		a.handleBounced(h, b, now)
 		return
 	}
-	a.trackServerPacket(h, now)
+	key := h.KeyFromServer()
+	f := a.flows.Get(key, now)
+	if h.Rst && !f.isHeld() {
+		a.handleUnheldReset(key, f, now)
+		return
+	}
+	a.trackServerPacket(key, f, h, now)
 	a.sendToClient(b[encap.HeaderSize:], h.Dst.Addr())
 }
 
-// trackServerPacket updates the flow of a packet that the server sent. Flows that aren't in the table are added.
-func (a *Agent) trackServerPacket(h flow.Header, now time.Time) {
-	key := h.KeyFromServer()
-	f := a.flows.Get(key, now)
+// handleUnheldReset processes an RST of the server on a flow, whose state is f or nil, that it isn't known to hold. A server at which
+// another flow with the key has ended answers data in this way. The RST isn't sent to the client, whose flow may be open at another server.
+func (a *Agent) handleUnheldReset(key flow.Key, f *flowState, now time.Time) {
+	a.counters.Add("unheld_reset", 1)
+	fields := []zap.Field{zap.Stringer("flow", key)}
+	if f != nil {
+		fields = a.flowFields(key, f, now)
+	}
+	a.opts.FlowLog.Info("reset by a server that isn't known to hold the flow", fields...)
+	a.denied.Put(key, struct{}{}, now)
+	if f == nil {
+		return
+	}
+	entry := f.entry
+	a.removeFlow(key)
+	if entry.IsValid() {
+		a.sendKey(encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key, entry)
+	}
+}
+
+// trackServerPacket updates the flow of a packet that the server sent, whose state is f or nil. Flows that aren't in the table are added.
+func (a *Agent) trackServerPacket(key flow.Key, f *flowState, h flow.Header, now time.Time) {
 	if f == nil {
-		if h.Rst || h.Syn {
+		if h.Syn {
 			return
 		}
 		f = a.flows.Put(key, flowState{
-			phase: phaseOpening, serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true,
+			phase: phaseProbing, serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true,
 		}, now)
 	}
+	if f.mayHaveEnded(h) {
+		return
+	}
 	f.restored = false
 	if h.Syn && f.phase == phaseOpening {
 		f.synAckSeen = true
