--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -112,8 +112,8 @@
 	queue  *pace.Queue[flow.Key]
 	// serviceTimer measures the service times of the requests at the server.
 	serviceTimer *pace.ServiceTimer[flow.Key]
-	// serverStarted and serverLeaving have room for one signal, sent when the server has started, and when it has sent its shutdown notice.
-	serverStarted, serverLeaving chan struct{}
+	// serverStarted and exitChecksDue have room for one signal, sent when the server has started, and when it may have ended.
+	serverStarted, exitChecksDue chan struct{}
 	// waitTimes records how long requests were queued.
 	waitTimes *logs.Histogram
 	// tableCompleteAt is when the flow table begins to hold all flows of the server. incompleteSince is when it last lost some:
@@ -145,7 +145,7 @@
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
-		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1), serverLeaving: make(chan struct{}, 1),
+		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
@@ -318,10 +318,13 @@
 	a.compensatePause(now)
 	a.updateReadiness(now)
 	a.expireRequests(now)
+	if a.server.MayHaveEnded(now) {
+		a.requestExitChecks()
+	}
 }
 
 // compensatePause extends the timeouts of the server and of its flows if the process has been paused. Each event calls it
-// first: after a pause, packets may be handled before the next tick, and the server would count as dead.
+// first: after a pause, packets may be handled before the next tick, and the server would count as silent.
 func (a *Agent) compensatePause(now time.Time) {
 	if gap := now.Sub(a.lastRunAt); gap > pauseThreshold {
 		a.server.CompensatePause(gap)
--- a/internal/deliv/exit.go
+++ b/internal/deliv/exit.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// firstExitCheckDelay is the time that a server is given to exit after its shutdown notice was acknowledged. The time between two
-	// checks doubles up to maxExitCheckInterval: each check is a connection to the server.
+	// firstExitCheckDelay is the time that a server is given to exit after its shutdown notice was acknowledged, or after it counts as
+	// silent. The time between two checks doubles up to maxExitCheckInterval: each check is a connection to the server.
 	firstExitCheckDelay  = 50 * time.Millisecond
 	maxExitCheckInterval = 800 * time.Millisecond
 	// exitCheckTimeout bounds one check.
@@ -32,19 +32,24 @@
 	}
 	a.opts.Log.Info("backend server changed", zap.String("id", id), zap.Stringer("change", server.ChangeLeft))
 	a.updateReadiness(time.Now())
+	a.requestExitChecks()
+}
+
+// requestExitChecks starts checks whether the server has ended, unless they are running.
+func (a *Agent) requestExitChecks() {
 	select {
-	case a.serverLeaving <- struct{}{}:
+	case a.exitChecksDue <- struct{}{}:
 	default:
 	}
 }
 
-// watchExits waits for the end of each backend server that has sent its shutdown notice.
+// watchExits waits for the end of each backend server that has sent its shutdown notice or is silent.
 func (a *Agent) watchExits(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-a.serverLeaving:
+		case <-a.exitChecksDue:
 		}
 		for interval := firstExitCheckDelay; ctx.Err() == nil; interval = min(2*interval, maxExitCheckInterval) {
 			sleep(ctx, interval)
@@ -55,9 +60,15 @@
 	}
 }
 
-// checkExit resets the flows of a server that is leaving and has ended. It returns false as long as a server is leaving that may not have
-// ended.
+// checkExit resets the flows of a server that is leaving or silent and has ended. It returns false as long as there is such a server that
+// may not have ended.
 func (a *Agent) checkExit(ctx context.Context) bool {
+	a.mu.Lock()
+	due := a.server.MayHaveEnded(time.Now())
+	a.mu.Unlock()
+	if !due {
+		return true
+	}
 	running, err := isListening(ctx, a.opts.Server)
 	if err != nil {
 		a.opts.Log.Debug("can't tell whether the backend server has ended", zap.Error(err))
@@ -66,14 +77,18 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.compensatePause(now)
-	if !a.server.IsLeaving() {
-		return true // A later start has sent a heartbeat.
+	reason := "the server has ended"
+	if a.server.IsLeaving() {
+		reason = "the server has left"
 	}
-	if (running || err != nil) && !a.server.IsDead(now) {
-		return false
+	if !a.server.RecordExitCheck(!running && err == nil, now) {
+		return !a.server.MayHaveEnded(now)
 	}
-	a.server.RecordEnd()
-	a.resetFlows(func(*flowState) bool { return true }, "the server has left")
+	heartbeat, packet := a.server.Silence(now)
+	a.opts.Log.Info("backend server has ended", zap.Bool("refused", !running && err == nil),
+		zap.Duration("server_heartbeat", heartbeat), zap.Duration("server_packet", packet))
+	a.updateReadiness(now)
+	a.resetFlows(func(*flowState) bool { return true }, reason)
 	return true
 }
 
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -403,7 +403,7 @@
 
 // serverMayHold reports whether the server may hold a flow that isn't in the table.
 func (a *Agent) serverMayHold(key flow.Key, now time.Time) bool {
-	return !a.tableComplete(now) && a.denied.Peek(key) == nil && !a.server.IsDead(now)
+	return !a.tableComplete(now) && a.denied.Peek(key) == nil && !a.server.HasEnded()
 }
 
 // sendClaim notifies the flow's entry that this agent holds the flow.
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -95,7 +95,7 @@
 // flowVerdict returns whether the server holds a flow that is in the table.
 func (a *Agent) flowVerdict(key flow.Key, f *flowState, now time.Time) seek.Verdict {
 	switch {
-	case a.server.IsDead(now):
+	case a.server.HasEnded():
 		return seek.Denied
 	case f.phase == phaseProbing:
 		return seek.Perhaps
@@ -204,7 +204,7 @@
 	}
 	f := a.flows.Get(key, now)
 	switch {
-	case f != nil && f.phase != phaseProbing && (f.serverRestarts != a.server.Restarts() || a.server.IsDead(now)):
+	case f != nil && f.phase != phaseProbing && (f.serverRestarts != a.server.Restarts() || a.server.HasEnded()):
 		if f.phase != phaseOpen {
 			a.returnToEntry(b, header, from) // The flow may be open at another server, which took a copy of the SYN.
 			return
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -311,19 +311,28 @@
 	env.Equal(env.read(env.client), nil)
 }
 
-// The same holds if the heartbeats of the server that was not chosen are missing, so that it counts as dead.
+// The same holds if the server that was not chosen has ended.
 func TestDeathOfServerThatWasNotChosenKeepsFlow(t *testing.T) {
 	env := newTestEnv(t, true)
 	env.receiveHeartbeat(nil)
 	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, syn)
 	env.receiveFromServer(2, flow.Header{Syn: true, Ack: true})
 	env.Equal(env.read(env.client), []byte{2})
-	env.agent.server.CompensatePause(-10 * time.Second) // Heartbeats and packets were long ago.
+	env.endServer()
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, ack)
 	env.Equal(env.readKind(env.entry), encap.Return)
 	env.Equal(env.read(env.client), nil)
 }
 
+// endServer ends the server without a notice and lets the agent notice it.
+func (env *testEnv) endServer() {
+	env.Helper()
+	env.NoErr(env.running.Close())
+	env.agent.server.CompensatePause(-10 * time.Second) // Heartbeats and packets were long ago.
+	env.True(env.agent.checkExit(context.Background()))
+	env.True(env.agent.server.HasEnded())
+}
+
 // In a pause the agent misses the packets by which it would learn or keep flows. The pause must not count towards the time
 // after which its table is complete, nor towards the idle time of flows: the agent would deny flows that its server holds.
 func TestPauseOfAgentDoesNotAgeFlowTable(t *testing.T) {
--- a/internal/deliv/reused_key_test.go
+++ b/internal/deliv/reused_key_test.go
@@ -101,6 +101,11 @@
 	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, laterRequest)
 	env.Equal(env.read(env.client), nil) // No reset.
 	env.Equal(env.readKind(env.entry), encap.Return)
+	env.endServer()
+	env.Equal(env.read(env.client), []byte{'R', 50}) // The earlier flow's.
+	env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, laterRequest)
+	env.Equal(env.read(env.client), nil)
+	env.Equal(env.readKind(env.entry), encap.Return)
 }
 
 // Guards against packets of an open flow that reach only another server, one that still holds an earlier flow with the same key and therefore
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -138,6 +138,7 @@
 		return change
 	}
 	hb.Draining = s.last.Draining
+	s.ended = false
 	s.store(hb, now)
 	if s.unsettled && isNewest {
 		s.limitEarliestStart(hb, now)
@@ -242,8 +243,5 @@
 // IsLeaving reports whether the server has sent its shutdown notice and isn't known to have ended.
 func (s *Server) IsLeaving() bool { return s.left && !s.ended }
 
-// RecordEnd records that a server that was leaving has ended.
-func (s *Server) RecordEnd() { s.ended = s.left }
-
 // LastHeartbeat returns the last heartbeat; ok is false before the first one.
 func (s *Server) LastHeartbeat() (hb Heartbeat, ok bool) { return s.last, s.known }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -52,7 +52,7 @@
 	opts Options
 
 	known bool
-	// left means that the server has sent its shutdown notice, ended that it has ended after that.
+	// left means that the server has sent its shutdown notice, ended that it has certainly ended.
 	left, ended     bool
 	restarts        int
 	last            Heartbeat
@@ -120,6 +120,8 @@
 		return ReasonLeft
 	case s.known && s.last.Draining:
 		return ReasonDraining
+	case s.ended:
+		return ReasonHeartbeatsMissing
 	case s.known && now.Sub(s.lastHeartbeatAt) > s.heartbeatTimeout() &&
 		now.Sub(s.lastPacketAt) > s.opts.HeartbeatInterval:
 		return ReasonHeartbeatsMissing
@@ -131,14 +133,27 @@
 	return ReasonNone
 }
 
-// IsDead reports whether the server has certainly stopped, so that its flows are lost: it has shut down, or has sent neither
-// heartbeats nor packets for one interval more than the heartbeat timeout.
-func (s *Server) IsDead(now time.Time) bool {
-	if !s.known {
+// HasEnded reports whether the server has certainly ended, so that its flows are lost.
+func (s *Server) HasEnded() bool { return s.ended }
+
+// IsSilent reports whether the server has sent neither heartbeats nor packets for one interval more than the heartbeat timeout. It has
+// ended, or stands still.
+func (s *Server) IsSilent(now time.Time) bool {
+	timeout := s.heartbeatTimeout() + s.opts.HeartbeatInterval
+	return s.known && now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout
+}
+
+// MayHaveEnded reports whether it must be checked whether the server has ended: it is leaving or silent.
+func (s *Server) MayHaveEnded(now time.Time) bool { return !s.ended && (s.left || s.IsSilent(now)) }
+
+// RecordExitCheck records the result of a connection to the server: whether it was refused, so that no process listens at the server's
+// address. It reports whether the server has ended now. Silence alone is the end only of a server that has announced it.
+func (s *Server) RecordExitCheck(refused bool, now time.Time) bool {
+	if !s.MayHaveEnded(now) {
 		return false
 	}
-	timeout := (heartbeatTimeoutIntervals + 1) * s.opts.HeartbeatInterval
-	return s.ended || (now.Sub(s.lastHeartbeatAt) > timeout && now.Sub(s.lastPacketAt) > timeout)
+	s.ended = refused || s.left && s.IsSilent(now)
+	return s.ended
 }
 
 // Silence returns the times since the last heartbeat and since the last packet of the server.
@@ -149,8 +164,9 @@
 // Restarts returns how many restarts of the server are certain. Flows that were opened before EarliestStart are then lost.
 func (s *Server) Restarts() int { return s.restarts }
 
-// RecordPacket records that the server sent a packet.
+// RecordPacket records that the server sent a packet. One that had ended without a notice has started again.
 func (s *Server) RecordPacket(now time.Time) {
+	s.ended = s.ended && s.left
 	s.lastPacketAt = now
 	s.unansweredOpens = 0
 }
