--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -39,6 +39,11 @@
 	idleMargin = 3 * time.Second
 	// deniedTTL is how long the agent remembers that the server doesn't hold a flow. Clients give up earlier.
 	deniedTTL = 30 * time.Second
+	// askedTTL is how long the server may hold a flow that an entry asked for before the table was complete. Clients give up earlier.
+	askedTTL = 30 * time.Second
+	// searchMargin is how long after the table has become complete entries may probe for flows by a verdict of before. They keep a search
+	// for 5 s.
+	searchMargin = 6 * time.Second
 	// maxHops is how often the SYN of a flow may be passed on to another agent.
 	maxHops       = 1
 	sweepInterval = 500 * time.Millisecond
@@ -109,7 +114,9 @@
 	flows  *flow.Table[flowState]
 	// denied has flows that the server is known not to hold.
 	denied *flow.Table[struct{}]
-	queue  *pace.Queue[flow.Key]
+	// asked has flows that entries asked for while the server might hold them, although they aren't in the table.
+	asked *flow.Table[struct{}]
+	queue *pace.Queue[flow.Key]
 	// serviceTimer measures the service times of the requests at the server.
 	serviceTimer *pace.ServiceTimer[flow.Key]
 	// serverStarted and exitChecksDue have room for one signal, sent when the server has started, and when it may have ended.
@@ -145,7 +152,7 @@
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
-		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
+		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), asked: flow.NewTable[struct{}](askedTTL, maxFlows), serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
@@ -350,7 +357,7 @@
 	}
 }
 
-// sweep removes flows and denials that have timed out.
+// sweep removes flows, denials and queries that have timed out.
 func (a *Agent) sweep() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -361,4 +368,5 @@
 		a.closeFlow(k, f)
 	})
 	a.denied.Sweep(now, maxSweptFlows, func(flow.Key, *struct{}) {})
+	a.asked.Sweep(now, maxSweptFlows, func(flow.Key, *struct{}) {})
 }
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -272,9 +272,9 @@
 
 // isHeldElsewhere reports whether the server certainly doesn't hold the flow of a client's packet h, whose state is f or nil. A
 // server that the client didn't choose would return the packet itself, but a request might wait for a slot first.
-func (a *Agent) isHeldElsewhere(key flow.Key, f *flowState, h flow.Header, now time.Time) bool {
+func (a *Agent) isHeldElsewhere(key flow.Key, f *flowState, kind encap.Kind, h flow.Header, now time.Time) bool {
 	if f == nil {
-		return !a.serverMayHold(key, now)
+		return !a.serverMayHold(key, now) && (kind != encap.Probe || !a.serverMayBeProbed(key, now))
 	}
 	return f.handshakeWith(h) == choseAnother
 }
@@ -403,7 +403,14 @@
 
 // serverMayHold reports whether the server may hold a flow that isn't in the table.
 func (a *Agent) serverMayHold(key flow.Key, now time.Time) bool {
-	return !a.tableComplete(now) && a.denied.Peek(key) == nil && !a.server.HasEnded()
+	return (!a.tableComplete(now) || a.asked.Peek(key) != nil) && a.denied.Peek(key) == nil && !a.server.HasEnded()
+}
+
+// serverMayBeProbed reports whether an entry may probe the server for a flow that isn't in the table: its search may have begun before the
+// table was complete.
+func (a *Agent) serverMayBeProbed(key flow.Key, now time.Time) bool {
+	wasIncomplete := a.tableCompleteAt.After(a.startedAt)
+	return wasIncomplete && now.Sub(a.tableCompleteAt) < searchMargin && a.denied.Peek(key) == nil && !a.server.HasEnded()
 }
 
 // sendClaim notifies the flow's entry that this agent holds the flow.
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -124,6 +124,13 @@
 			perhaps = append(perhaps, k)
 		}
 	})
+	if a.tableComplete(now) { // Only complete lists deny what they lack.
+		a.asked.Each(func(k flow.Key, _ *struct{}) {
+			if a.flows.Peek(k) == nil && a.serverMayHold(k, now) {
+				perhaps = append(perhaps, k)
+			}
+		})
+	}
 	return []keyGroup{{seek.Perhaps, perhaps}, {seek.Opening, opening}, {seek.Held, held}}
 }
 
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -68,7 +68,11 @@
 		return
 	}
 	header := encap.Header{Kind: encap.QueryReply, Verdict: a.verdict(key, now)}
-	if f := a.flows.Peek(key); header.Verdict == seek.Denied && f != nil {
+	f := a.flows.Peek(key)
+	if header.Verdict == seek.Perhaps && f == nil {
+		a.asked.Put(key, struct{}{}, now)
+	}
+	if header.Verdict == seek.Denied && f != nil {
 		a.opts.FlowLog.Info("flow in the table denied", append(a.flowFields(key, f, now), zap.Stringer("entry", from))...)
 	}
 	a.sendKey(header, key, from)
@@ -211,7 +215,7 @@
 		}
 		a.resetLostFlow(key, h, "backend server has ended")
 		return
-	case a.isHeldElsewhere(key, f, h, now):
+	case a.isHeldElsewhere(key, f, header.Kind, h, now):
 		a.returnToEntry(b, header, from)
 		return
 	case f == nil:
