--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -344,10 +344,10 @@
 	return true
 }
 
-// restoreFlows adds flows of a saved list to the table as open flows.
+// restoreFlows adds flows of a saved list to the table as open flows, unless the server is known not to hold them.
 func (a *Agent) restoreFlows(keys []flow.Key, nextSeqs []uint32, service uint64, now time.Time) {
 	for i, k := range keys {
-		if f := a.flows.Peek(k); f == nil || f.phase == phaseProbing {
+		if f := a.flows.Peek(k); a.denied.Peek(k) == nil && (f == nil || f.phase == phaseProbing) {
 			if f != nil {
 				a.removeFlow(k)
 			}
