--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -128,7 +128,7 @@
 		return
 	}
 	if reason := a.refusalFor(header, h, now); reason != server.ReasonNone {
-		a.passOnOrRefuse(key, header, h, b, string(reason))
+		a.passOnOrRefuse(key, header, b, string(reason))
 		return
 	}
 	a.removeFlow(key)
@@ -156,20 +156,19 @@
 }
 
 // passOnOrRefuse passes the SYN of a flow that this server hasn't accepted on to the fallback agent. If there is none or the SYN
-// was passed on maxHops times, it returns the SYN to the entry, which chooses another agent; without an entry it refuses the flow
-// with a reset.
-func (a *Agent) passOnOrRefuse(key flow.Key, header encap.Header, h flow.Header, b []byte, reason string) {
+// was passed on maxHops times, it returns the SYN to the entry, which chooses another agent. Without an entry, as that of a flow from a
+// saved list, it drops the SYN: a reset could reach a client whose flow another server has accepted.
+func (a *Agent) passOnOrRefuse(key flow.Key, header encap.Header, b []byte, reason string) {
 	passOn := a.mayPassOn(header)
 	a.opts.FlowLog.Info("new flow not taken", zap.Stringer("flow", key), zap.String("reason", reason),
-		zap.Bool("passed_on", passOn), zap.Bool("reset", !passOn && !header.Entry.IsValid()), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
+		zap.Bool("passed_on", passOn), zap.Bool("dropped", !passOn && !header.Entry.IsValid()), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
 	switch {
 	case passOn:
 		a.passOn(header, b)
 	case header.Entry.IsValid():
 		a.returnToEntry(b, header, header.Entry)
 	default:
-		a.counters.Add("open_refused", 1)
-		a.sendReset(h)
+		a.counters.Add("open_dropped", 1)
 	}
 }
 
@@ -394,15 +393,11 @@
 	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "packet bounced by the backend server"); logEntry != nil {
 		logEntry.Write(append(a.flowFields(key, f, now), zap.Bool("opens", h.Opens()), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))...)
 	}
-	a.removeFlow(key)
 	if h.Opens() {
-		a.server.RecordOpenRefused(now)
-		a.updateReadiness(now)
-		a.passOnOrRefuse(key, encap.Header{
-			Kind: encap.Open, Hops: prev.hops, Service: prev.service, Fallback: prev.fallback, Entry: prev.entry,
-		}, h, b, string(server.ReasonOpensRefused))
+		a.handleBouncedOpen(key, f, b, now)
 		return
 	}
+	a.removeFlow(key)
 	a.denied.Put(key, struct{}{}, now)
 	if prev.phase == phaseClosed {
 		return // Both ends have closed the flow; a late packet needs no reply.
@@ -417,3 +412,16 @@
 		a.returnToEntry(b, encap.Header{Service: prev.service}, prev.entry)
 	}
 }
+
+// handleBouncedOpen processes a SYN that the server bounced because it can't accept the new flow f. A server that can't accept flows also
+// bounces late copies of the SYN of a flow that it holds.
+func (a *Agent) handleBouncedOpen(key flow.Key, f *flowState, b []byte, now time.Time) {
+	a.server.RecordOpenRefused(now)
+	a.updateReadiness(now)
+	if f.phase == phaseOpen || f.isHeld() {
+		return
+	}
+	header := encap.Header{Kind: encap.Open, Hops: f.hops, Service: f.service, Fallback: f.fallback, Entry: f.entry}
+	a.removeFlow(key)
+	a.passOnOrRefuse(key, header, b, string(server.ReasonOpensRefused))
+}
