--- a/internal/deliv/asked_test.go
+++ b/internal/deliv/asked_test.go
@@ -8,6 +8,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
+	"github.com/bergamotrun/bergamotrun/internal/server"
 )
 
 // query passes an entry's query for a flow to the agent and returns the verdict in its reply.
@@ -75,3 +76,17 @@
 		env.Equal(env.verdict(), seek.Denied)
 	}
 }
+
+// Guards against lost flows that entries keep probing for: the agent has run since before its server started, so that the server can't hold a
+// flow that the agent hasn't seen, whoever asked for it before.
+func TestFlowThatWasAskedForIsDeniedAfterStartOfServer(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.startedBefore(time.Minute)
+	key := flow.NewKey(client, service)
+	env.Equal(env.query(key), seek.Perhaps)
+	env.receiveRestart(func(*server.Heartbeat) {})
+	env.Equal(env.query(key), seek.Denied)
+	env.receiveDatagram(encap.Header{Kind: encap.Probe}, 1, request)
+	env.Equal(env.read(env.server), nil)
+	env.Equal(env.readKind(env.entry), encap.Return)
+}
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -126,6 +126,9 @@
 	// tableCompleteAt is when the flow table begins to hold all flows of the server. incompleteSince is when it last lost some:
 	// the start of the agent, or a later eviction.
 	tableCompleteAt, incompleteSince time.Time
+	// completeByStart means that the table is complete since the agent has run since before the server started, and not only since idle flows
+	// have timed out.
+	completeByStart bool
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
 	// stopping is set once the final list has been collected.
@@ -221,7 +224,7 @@
 	a.counters.Add("flow_evicted", 1)
 	if f.phase != phaseClosed {
 		a.incompleteSince = time.Now()
-		a.tableCompleteAt = a.incompleteSince.Add(a.flows.IdleTimeout())
+		a.tableCompleteAt, a.completeByStart = a.incompleteSince.Add(a.flows.IdleTimeout()), false
 	}
 	a.closeFlow(key, f)
 }
@@ -292,7 +295,8 @@
 func (a *Agent) handleSettledStart(now time.Time) {
 	start := a.server.EarliestStart().Add(-a.pausedFor) // The heartbeat may have been queued during a pause.
 	if start.After(a.incompleteSince) && now.Before(a.tableCompleteAt) {
-		a.tableCompleteAt = now
+		a.tableCompleteAt, a.completeByStart = now, true
+		a.asked = flow.NewTable[struct{}](askedTTL, maxFlows)
 	}
 	a.keepFlowsSince(start)
 	a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -409,7 +409,7 @@
 // serverMayBeProbed reports whether an entry may probe the server for a flow that isn't in the table: its search may have begun before the
 // table was complete.
 func (a *Agent) serverMayBeProbed(key flow.Key, now time.Time) bool {
-	wasIncomplete := a.tableCompleteAt.After(a.startedAt)
+	wasIncomplete := a.tableCompleteAt.After(a.startedAt) && !a.completeByStart
 	return wasIncomplete && now.Sub(a.tableCompleteAt) < searchMargin && a.denied.Peek(key) == nil && !a.server.HasEnded()
 }
 
