--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -10,6 +10,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/pace"
+	"github.com/bergamotrun/bergamotrun/internal/server"
 )
 
 const (
@@ -76,6 +77,9 @@
 	// opening, it is that of the server's SYN+ACK, once synAckSeen is set.
 	serverNextSeq uint32
 	synAckSeen    bool
+	// synSeq is the sequence number of the flow's SYN, once synSeen is set.
+	synSeq  uint32
+	synSeen bool
 	// chosen means that the client has acknowledged the server's SYN+ACK, so that the server holds the flow once the packet arrives.
 	chosen bool
 	// wasOpen means that the server may have held the flow before it was closed.
@@ -163,9 +167,24 @@
 	maxRestoredAckDistance = 1 << 28
 )
 
-// isOtherFlow reports whether a client's packet h certainly belongs to another flow with the same key: it acknowledges bytes that
-// the server never sent on this one. Until the handshake is complete, handshakeWith decides.
+// isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of an
+// open flow, it may be either, and must not reach a server that may get no new flows for the given reason.
+func (f *flowState) isRepeatedBy(h flow.Header, reason server.Reason) bool {
+	switch {
+	case f.phase == phaseClosed:
+		return false
+	case f.synSeen:
+		return f.synSeq == h.Seq
+	}
+	return f.phase != phaseOpen || reason == server.ReasonNone
+}
+
+// isOtherFlow reports whether a client's packet h certainly belongs to another flow with the same key: it is another SYN than this flow's,
+// or acknowledges bytes that the server never sent on this one. Until the handshake is complete, handshakeWith decides on acknowledgements.
 func (f *flowState) isOtherFlow(h flow.Header) bool {
+	if h.Opens() {
+		return f.synSeen && f.synSeq != h.Seq
+	}
 	if !h.Ack || !f.serverSeqKnown || f.phase != phaseOpen && f.phase != phaseClosed {
 		return false
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -116,7 +116,9 @@
 // handleOpen sends the SYN of a flow to the server, passes it on to another agent or refuses the flow.
 func (a *Agent) handleOpen(header encap.Header, h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
-	if f := a.flows.Get(key, now); f != nil && f.phase != phaseClosed && f.serverRestarts == a.server.Restarts() {
+	reason := a.refusalFor(header, h, now)
+	if f := a.flows.Peek(key); f != nil && f.serverRestarts == a.server.Restarts() && f.isRepeatedBy(h, reason) {
+		a.flows.Get(key, now)
 		if !f.entry.IsValid() { // The agent knows the flow from a saved list or from the server.
 			f.entry, f.fallback, f.hops = header.Entry, header.Fallback, header.Hops
 		}
@@ -127,14 +129,18 @@
 		a.passOnOrDrop(header, b)
 		return
 	}
-	if reason := a.refusalFor(header, h, now); reason != server.ReasonNone {
+	if reason != server.ReasonNone {
 		a.passOnOrRefuse(key, header, b, string(reason))
 		return
 	}
+	if f := a.flows.Peek(key); f != nil && f.phase == phaseOpen {
+		a.opts.FlowLog.Info("new flow with the key of an open one", a.flowFields(key, f, now)...)
+	}
 	a.removeFlow(key)
 	a.flows.Put(key, flowState{
 		phase: phaseOpening, serverRestarts: a.server.Restarts(), entry: header.Entry, service: header.Service,
 		fallback: header.Fallback, hops: header.Hops, claimPending: header.Hops > 0, firstSeen: now,
+		synSeq: h.Seq, synSeen: true,
 	}, now)
 	a.server.RecordOpen(now)
 	a.counters.Add("opened", 1)
