--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -33,7 +33,10 @@
 const (
 	// maxFlows bounds the flow table. A server holds up to 2,000 flows; closed flows stay until they time out.
 	maxFlows = 50_000
-	// defaultIdleTimeout applies until a configuration sets the idle timeout of flows.
+	// unknownIdleTimeout applies until the first configuration. It is as long as the longest that one can set: no flow is removed, and the
+	// table isn't complete, until the idle timeout is known.
+	unknownIdleTimeout = 24 * time.Hour
+	// defaultIdleTimeout applies if no configuration has set the idle timeout of flows.
 	defaultIdleTimeout = 20 * time.Second
 	// idleMargin is added to the configured idle timeout before a flow is removed from the table.
 	idleMargin = 3 * time.Second
@@ -154,10 +157,10 @@
 	}
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
-		server: server.New(serverOpts), flows: flow.NewTable[flowState](defaultIdleTimeout, maxFlows),
+		server: server.New(serverOpts), flows: flow.NewTable[flowState](unknownIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), asked: flow.NewTable[struct{}](askedTTL, maxFlows), serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
-		tableCompleteAt: now.Add(defaultIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
+		tableCompleteAt: now.Add(unknownIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
 	if opts.FirstStart {
 		a.tableCompleteAt = now
@@ -208,12 +211,15 @@
 func (a *Agent) Configure(table *route.Table) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	idle := table.Idle + idleMargin
 	if table.Idle <= 0 {
-		return
+		if a.flows.IdleTimeout() != unknownIdleTimeout {
+			return
+		}
+		idle = defaultIdleTimeout
 	}
-	idle := table.Idle + idleMargin
 	a.flows.SetIdleTimeout(idle)
-	if completeAt := a.incompleteSince.Add(idle + a.pausedFor); !a.opts.FirstStart && time.Now().Before(a.tableCompleteAt) {
+	if completeAt := a.incompleteSince.Add(idle + a.pausedFor); time.Now().Before(a.tableCompleteAt) {
 		a.tableCompleteAt = completeAt
 	}
 }
