--- a/internal/deliv/asked_test.go
+++ b/internal/deliv/asked_test.go
@@ -82,6 +82,7 @@
 func TestFlowThatWasAskedForIsDeniedAfterStartOfServer(t *testing.T) {
 	env := newTestEnv(t, false)
 	env.startedBefore(time.Minute)
+	env.noticeAbsence()
 	key := flow.NewKey(client, service)
 	env.Equal(env.query(key), seek.Perhaps)
 	env.receiveRestart(func(*server.Heartbeat) {})
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -283,7 +283,8 @@
 			zap.String("service", hb.Service), zap.Uint64("sequence", hb.Sequence), zap.Time("born", hb.StartedAt),
 			zap.Duration("cold", hb.ColdRemaining), zap.Int("slots", hb.Slots), zap.Int("restarts", a.server.Restarts()),
 			zap.Duration("agent_up", now.Sub(a.startedAt)), zap.Bool("table_complete", a.tableComplete(now)),
-			zap.Bool("settled", a.server.Settled()), zap.Duration("max_age", now.Sub(a.server.EarliestStart())))
+			zap.Bool("settled", a.server.Settled()), zap.Duration("max_age", now.Sub(a.server.EarliestStart())),
+			zap.Time("started_after", a.server.StartedAfter()))
 	}
 	a.updateReadiness(now)
 	return change == server.ChangeStarted, nil
@@ -299,11 +300,11 @@
 // handleSettledStart resets the flows that the server has lost by a restart, once its start is certainly the one that is running. If
 // the agent has run since before the server started, it has seen all packets of the server, and its table is complete.
 func (a *Agent) handleSettledStart(now time.Time) {
-	start := a.server.EarliestStart().Add(-a.pausedFor) // The heartbeat may have been queued during a pause.
-	if start.After(a.incompleteSince) && now.Before(a.tableCompleteAt) {
+	if a.server.StartedAfter().After(a.incompleteSince) && now.Before(a.tableCompleteAt) {
 		a.tableCompleteAt, a.completeByStart = now, true
 		a.asked = flow.NewTable[struct{}](askedTTL, maxFlows)
 	}
+	start := a.server.EarliestStart().Add(-a.pausedFor) // The heartbeat may have been queued during a pause.
 	a.keepFlowsSince(start)
 	a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 }
--- a/internal/deliv/exit.go
+++ b/internal/deliv/exit.go
@@ -43,8 +43,12 @@
 	}
 }
 
-// watchExits waits for the end of each backend server that has sent its shutdown notice or is silent.
+// watchExits waits for the end of each backend server that has sent its shutdown notice or is silent. Before the first heartbeat it finds out
+// whether a server is running.
 func (a *Agent) watchExits(ctx context.Context) error {
+	for interval := firstExitCheckDelay; ctx.Err() == nil && !a.checkAbsence(ctx); interval = min(2*interval, maxExitCheckInterval) {
+		sleep(ctx, interval)
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -60,6 +64,27 @@
 	}
 }
 
+// checkAbsence records that the server isn't running, if so: one that starts later holds only flows that the agent has seen. It returns true
+// once that is known or doesn't matter any more.
+func (a *Agent) checkAbsence(ctx context.Context) bool {
+	now := time.Now()
+	a.mu.Lock()
+	_, known := a.server.LastHeartbeat()
+	due := !known && !a.tableComplete(now)
+	a.mu.Unlock()
+	if !due {
+		return true
+	}
+	if running, err := isListening(ctx, a.opts.Server); running || err != nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.server.RecordAbsence(now)
+	a.opts.Log.Info("backend server isn't running yet", zap.Duration("agent_up", now.Sub(a.startedAt)))
+	return true
+}
+
 // checkExit resets the flows of a server that is leaving or silent and has ended. It returns false as long as there is such a server that
 // may not have ended.
 func (a *Agent) checkExit(ctx context.Context) bool {
--- a/internal/deliv/restart_test.go
+++ b/internal/deliv/restart_test.go
@@ -63,18 +63,66 @@
 }
 
 // An agent that has run since before its server started knows all flows of the server. It must deny others, or entries
-// would probe the server for them. The server's clock doesn't matter.
+// would probe the server for them. The server's clock and the number of its heartbeats don't matter, but only whether the agent has found
+// that no server was running.
 func TestServerStartedAfterAgentCompletesTable(t *testing.T) {
 	for _, ahead := range []time.Duration{-time.Hour, -time.Second, time.Hour} {
-		env := newTestEnv(t, false)
-		env.startedBefore(9 * time.Second)
-		start := time.Now().Add(ahead)
-		env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 2, start })
-		env.settle(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = 3, start })
-		env.Equal(env.verdict(), seek.Denied)
+		for _, sequence := range []uint64{2, 20} {
+			for _, absent := range []bool{true, false} {
+				env := newTestEnv(t, false)
+				env.startedBefore(9 * time.Second)
+				if absent {
+					env.noticeAbsence()
+				} else {
+					env.True(!env.agent.checkAbsence(context.Background()))
+				}
+				env.Equal(env.verdict(), seek.Perhaps)
+				start := time.Now().Add(ahead)
+				env.receiveHeartbeat(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = sequence, start })
+				env.True(env.agent.checkAbsence(context.Background())) // The first heartbeat has come.
+				env.Equal(env.verdict(), seek.Perhaps)
+				env.settle(func(hb *server.Heartbeat) { hb.Sequence, hb.StartedAt = sequence+1, start })
+				want := seek.Perhaps
+				if absent {
+					want = seek.Denied
+				}
+				env.Equal(env.verdict(), want)
+			}
+		}
 	}
 }
 
+// noticeAbsence ends the server before its first heartbeat and lets the agent find out that none is running.
+func (env *testEnv) noticeAbsence() {
+	env.Helper()
+	env.NoErr(env.running.Close())
+	env.True(env.agent.checkAbsence(context.Background()))
+}
+
+// The same holds if the agent knows an earlier start of its server.
+func TestRestartOfServerCompletesTable(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.startedBefore(time.Minute)
+	env.receiveHeartbeat(nil)
+	env.settle(func(hb *server.Heartbeat) { hb.Sequence = 8 })
+	env.Equal(env.verdict(), seek.Perhaps)
+	env.endServer()
+	restart := func(hb *server.Heartbeat) { hb.ID, hb.StartedAt = "i-2", startedAt.Add(time.Minute) }
+	env.receiveRestart(restart)
+	env.Equal(env.verdict(), seek.Denied)
+}
+
+// What the agent found out before a full table evicted an open flow doesn't make its table complete.
+func TestAbsenceBeforeEvictionDoesNotCompleteTable(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.noticeAbsence()
+	env.agent.mu.Lock()
+	env.agent.handleEviction(flow.NewKey(service, client), &flowState{phase: phaseOpen})
+	env.agent.mu.Unlock()
+	env.receiveRestart(func(*server.Heartbeat) {})
+	env.Equal(env.verdict(), seek.Perhaps)
+}
+
 // A pause of the agent's process must not make its server look younger: the first heartbeat may have been queued meanwhile.
 func TestHeartbeatQueuedInPauseDoesNotCompleteTable(t *testing.T) {
 	env := newTestEnv(t, false)
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -110,6 +110,9 @@
 			s.previous.Sequence = math.MaxUint64 // No heartbeat follows a shutdown notice.
 		}
 	}
+	if s.Settled() {
+		s.ran, s.ranAt = s.last, s.settledAt
+	}
 	s.unsettled = true
 	s.left, s.ended = false, false
 	s.firstHeartbeatAt = now
@@ -143,7 +146,7 @@
 	if s.unsettled && isNewest {
 		s.limitEarliestStart(hb, now)
 		if now.Sub(s.otherStartSeenAt) >= s.settleTime() {
-			s.settle()
+			s.settle(now)
 			change = max(change, ChangeSettled)
 		}
 	}
@@ -170,8 +173,8 @@
 // settle records that the current start is certainly the one that is running: it has sent a further heartbeat, and no other start has
 // sent one for settleTime. A single heartbeat proves nothing, since it may be a delayed one. If there was a start before, the server
 // has started again.
-func (s *Server) settle() {
-	s.unsettled = false
+func (s *Server) settle(now time.Time) {
+	s.unsettled, s.settledAt = false, now
 	if s.previous != (Heartbeat{}) {
 		s.restarts++
 	}
@@ -208,6 +211,16 @@
 	return time.Duration(hb.Sequence+1) * perHeartbeat
 }
 
+// StartedAfter returns the latest time before which the current start has certainly not begun: no server was running then, or an earlier start
+// was, and the number of heartbeats since doesn't contradict that. It is zero if there was no such time. Unlike EarliestStart, it doesn't
+// rest on the rate of heartbeats, which a server that stands still doesn't keep.
+func (s *Server) StartedAfter() time.Time {
+	if s.ranAt.After(s.absentAt) && !s.last.sameStart(&s.ran) && s.earliestStart.After(s.ranAt) {
+		return s.ranAt
+	}
+	return s.absentAt
+}
+
 // EarliestStart returns the earliest time at which the current start may have begun, by the number of its heartbeats. It doesn't rest
 // on the server's clock. Pauses of the caller, in which heartbeats may have been queued, aren't included.
 func (s *Server) EarliestStart() time.Time { return s.earliestStart }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -62,6 +62,12 @@
 	coldUntil        time.Time
 	// earliestStart is the earliest time at which the current start may have begun.
 	earliestStart time.Time
+	// absentAt is when the server was last found not to be running, ranAt when the start of ran was settled, the last one before the current
+	// one that was. Both are zero if there was no such time.
+	absentAt, ranAt time.Time
+	ran             Heartbeat
+	// settledAt is when the current start was settled.
+	settledAt time.Time
 	// confirmed means that the sender of a heartbeat of the current start was running when the heartbeat was processed.
 	confirmed bool
 	// unsettled means that another start than the current one may be running. previous is the last heartbeat of the start before,
@@ -152,10 +158,16 @@
 	if !s.MayHaveEnded(now) {
 		return false
 	}
+	if refused {
+		s.RecordAbsence(now)
+	}
 	s.ended = refused || s.left && s.IsSilent(now)
 	return s.ended
 }
 
+// RecordAbsence records that a connection to the server was refused, so that no server was running at the given time.
+func (s *Server) RecordAbsence(at time.Time) { s.absentAt = at }
+
 // Silence returns the times since the last heartbeat and since the last packet of the server.
 func (s *Server) Silence(now time.Time) (heartbeat, packet time.Duration) {
 	return now.Sub(s.lastHeartbeatAt), now.Sub(s.lastPacketAt)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -471,3 +471,35 @@
 	}
 	is.Equal(falseAlarms, 0)
 }
+
+// Guards against the reset of the flows of a server that is older than its agent and stood still, so that it has sent few heartbeats: only what
+// was observed bounds the age of a start.
+func TestStartedAfterRestsOnObservations(t *testing.T) {
+	is := is.New(t)
+	begin := func(s *Server, id string, sequence uint64, at time.Time) {
+		hb := heartbeat(sequence)
+		hb.ID, hb.StartedAt = id, epoch.Add(time.Duration(len(id))*time.Second)
+		mustRecordHeartbeat(t, s, hb, at)
+	}
+	s := newServer()
+	begin(s, "a", 1, epoch)
+	begin(s, "a", 2, epoch.Add(4*interval))
+	is.True(s.Settled())
+	is.True(s.StartedAfter().IsZero()) // Nothing is known of the time before.
+
+	settled := epoch.Add(4 * interval)
+	begin(s, "bb", 1, epoch.Add(20*interval))
+	is.Equal(s.StartedAfter(), settled) // The earlier start ran then.
+	begin(s, "a", 30, epoch.Add(21*interval))
+	is.True(s.StartedAfter().IsZero()) // It has run all the time.
+	begin(s, "ccc", 60, epoch.Add(22*interval))
+	is.True(s.StartedAfter().IsZero()) // A server with as many heartbeats ran before.
+
+	s = newServer()
+	s.RecordAbsence(epoch)
+	begin(s, "a", 60, epoch.Add(interval))
+	is.Equal(s.StartedAfter(), epoch)
+	is.True(s.RecordExitCheck(true, epoch.Add(10*interval)))
+	begin(s, "bb", 1, epoch.Add(11*interval))
+	is.Equal(s.StartedAfter(), epoch.Add(10*interval))
+}
