--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -33,6 +33,14 @@
 	slot := inv.flags.Int("slot", 0, "`number` of the address range; use different ones for runs at the same time")
 	loss := inv.flags.Float64("loss", 0.002, "`fraction` of client packets that are lost")
 	only := inv.flags.String("only", "", "comma-separated `kinds` of faults; all if empty")
+	shape := inv.flags.String("shape", "", "`name` of a scripted run, in place of random faults: restarts")
+	late := inv.flags.String("late", "none", "`agents` that start late in a scripted run: none, one, some or all")
+	pauses := inv.flags.Bool("pauses", false, "pause single processes in a scripted run")
+	users := inv.flags.Int("users", 5, "`number` of users of each client")
+	ports := inv.flags.Int("ports", 0, "`number` of ports that a client uses one after the other; all if 0")
+	maxFlows := inv.flags.Int("maxflows", 0, "`number` of flows that a backend server holds; no limit if 0")
+	byDomain := inv.flags.Bool("bydomain", false, "send each client's packets to the entries of one failure domain")
+	program := inv.flags.String("program", "", "`path` of the program to run as entries and agents; this one if empty")
 	dir := inv.flags.String("dir", "", "`directory` for settings, logs and reports; a new temporary one if empty")
 	if err := inv.parse(0, 0); err != nil {
 		return err
@@ -41,11 +49,15 @@
 	if err != nil {
 		return err
 	}
+	if *program != "" {
+		executable = *program
+	}
 	failed := 0
 	for i := range *runs {
 		opts := soak.Options{
 			Seed: *seed + uint64(i), FaultDuration: time.Duration(*minutes * float64(time.Minute)), Entries: *entries, Servers: *servers,
-			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Binary: executable,
+			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Shape: *shape, Late: *late, Pauses: *pauses, Users: *users, Ports: *ports,
+			MaxFlows: *maxFlows, ByDomain: *byDomain, Binary: executable,
 			Dir: filepath.Join(baseDir, fmt.Sprint(*seed+uint64(i))), Out: inv.stdout,
 		}
 		if ctx.Err() != nil {
--- a/internal/local/fabric.go
+++ b/internal/local/fabric.go
@@ -51,14 +51,40 @@
 func (d *Deployment) pickEntry(client, service netip.AddrPort) (netip.AddrPort, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.rotation) == 0 || rand.Float64() < d.loss {
+	rotation := d.rotation
+	if d.opts.ByDomain {
+		rotation = d.rotationOf(int(client.Addr().As4()[3]) % domainCount)
+	}
+	if len(rotation) == 0 || rand.Float64() < d.loss {
 		return netip.AddrPort{}, false
 	}
 	hash := int(client.Port()) + int(client.Addr().As4()[3])*31 + int(service.Port())
-	p := d.rotation[hash%len(d.rotation)]
+	p := rotation[hash%len(rotation)]
 	return netip.AddrPortFrom(p.IP, portClients), p != d.isolated
 }
 
+// rotationOf returns the entries that get the packets of a failure domain's clients: those of the domain that are in rotation, all of
+// the domain if fewer than half are, and all in rotation if none is. The caller holds mu.
+func (d *Deployment) rotationOf(domain int) []*Process {
+	var ready, all []*Process
+	for i, p := range d.Entries {
+		if i%domainCount != domain {
+			continue
+		}
+		all = append(all, p)
+		if d.probeFailures[p] < probeFailureThreshold {
+			ready = append(ready, p)
+		}
+	}
+	switch {
+	case len(ready) == 0:
+		return d.rotation
+	case 2*len(ready) < len(all):
+		return all
+	}
+	return ready
+}
+
 // SetLoss sets the probability that the fabric drops a packet of a client.
 func (d *Deployment) SetLoss(rate float64) {
 	d.mu.Lock()
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +40,8 @@
 	Slowness []float64
 	// Queue is the number of requests that may wait at a server; it sheds further ones. 0 means no limit.
 	Queue int
+	// MaxFlows is the number of flows that a server holds; it bounces the SYNs of further ones. 0 means no limit.
+	MaxFlows int
 }
 
 // Options configure a deployment.
@@ -48,6 +52,10 @@
 	Slot int
 	// Loss is the probability that the fabric drops a packet of a client.
 	Loss float64
+	// ByDomain makes the fabric send each client's packets to the entries of one failure domain, as long as any of them is in rotation.
+	ByDomain bool
+	// ClientPorts is the number of ports that a client's flows use one after the other. 0 means all.
+	ClientPorts int
 	// Binary is the path of the bergamotrun executable, Dir the directory for settings and logs.
 	Binary, Dir string
 	// ServiceTime returns the service time of a request at a server of slowness 1.
@@ -285,7 +293,8 @@
 	s, err := fakes.StartServer(fakes.ServerOptions{
 		ID: id, Service: service.Name, Domain: place.domain,
 		Address: netip.AddrPortFrom(p.IP, portServer), Outbound: netip.AddrPortFrom(p.IP, portOutbound),
-		Heartbeats: netip.AddrPortFrom(p.IP, portAnnounce), Slots: service.Slots, Queue: service.Queue, HeartbeatInterval: heartbeatInterval,
+		Heartbeats: netip.AddrPortFrom(p.IP, portAnnounce), Slots: service.Slots, Queue: service.Queue, MaxFlows: service.MaxFlows,
+		HeartbeatInterval: heartbeatInterval,
 		ServiceTime: func(request string) time.Duration {
 			return time.Duration(slowness * float64(d.opts.ServiceTime(request)))
 		},
@@ -319,7 +328,7 @@
 func (d *Deployment) NewClient(i int) (*fakes.Client, error) {
 	c, err := fakes.NewClient(fakes.ClientOptions{
 		Address: netip.AddrPortFrom(d.opts.ip(groupClient, i), portClients), EntryFor: d.pickEntry,
-		Watcher: d.opts.Watcher,
+		Watcher: d.opts.Watcher, Ports: d.opts.ClientPorts, Opening: d.abandonFlow,
 	})
 	if err != nil {
 		return nil, err
@@ -330,6 +339,17 @@
 	return c, nil
 }
 
+// abandonFlow tells all servers that a client opens a new flow, so that an earlier one with the same addresses and ports isn't taken
+// for it.
+func (d *Deployment) abandonFlow(client, service netip.AddrPort) {
+	d.mu.Lock()
+	servers := slices.Collect(maps.Values(d.servers))
+	d.mu.Unlock()
+	for _, s := range servers {
+		s.Abandon(client, service)
+	}
+}
+
 // ClientPort returns the port at which clients and entries receive each other's packets.
 func (d *Deployment) ClientPort() uint16 { return portClients }
 
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -46,10 +46,11 @@
 	d := &deployment{opts: opts, check: newChecker()}
 	localOpts := local.Options{
 		Entries: opts.Entries, Slot: opts.Slot, Loss: opts.Loss, Binary: opts.Binary, Dir: opts.Dir, Watcher: d,
+		ByDomain: opts.ByDomain, ClientPorts: opts.Ports,
 		ServiceTime: func(string) time.Duration { return serviceTime },
 	}
 	for _, name := range services {
-		localOpts.Services = append(localOpts.Services, local.Service{Name: name, Servers: opts.Servers, Slots: slotsPerServer})
+		localOpts.Services = append(localOpts.Services, local.Service{Name: name, Servers: opts.Servers, Slots: slotsPerServer, MaxFlows: opts.MaxFlows})
 	}
 	var err error
 	d.Deployment, err = local.New(localOpts)
@@ -130,7 +131,7 @@
 	return true
 }
 
-// Reset checks a reset that a client received from the system under test rather than from its server. open reports
+// Reset checks a reset that a client received from the system under test or from another server, rather than from its own. open reports
 // whether the flow was open.
 func (d *deployment) Reset(by netip.Addr, client, service netip.AddrPort, open bool) {
 	now := time.Now()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -280,7 +280,11 @@
 
 // replaceServer drains and stops a server and starts another one in its place.
 func (d *deployment) replaceServer(ctx context.Context, r *rand.Rand) {
-	p := d.Agents[r.IntN(len(d.Agents))]
+	d.replaceServerOf(ctx, r, d.Agents[r.IntN(len(d.Agents))])
+}
+
+// replaceServerOf does the same for the server beside an agent.
+func (d *deployment) replaceServerOf(ctx context.Context, r *rand.Rand, p *local.Process) {
 	p.ServerMu.Lock()
 	defer p.ServerMu.Unlock()
 	server := d.Server(p)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -38,6 +39,17 @@
 	Slot int
 	// Loss is the fraction of the clients' packets that the fabric drops.
 	Loss float64
+	// Shape is the name of a scripted run, which takes the place of random faults for FaultDuration. If it is empty, there is none.
+	Shape string
+	// Late says which agents start late in a scripted run: lateNone, lateOne, lateSome or lateAll. Pauses makes it pause single
+	// processes.
+	Late   string
+	Pauses bool
+	// Users is the number of users of each client, Ports the number of ports that a client uses one after the other, and MaxFlows the
+	// number of flows that a server holds. 0 means the default, all and no limit.
+	Users, Ports, MaxFlows int
+	// ByDomain makes each client send to the entries of one failure domain.
+	ByDomain bool
 	// Only lists the names of the faults to inject, separated by commas. If it is empty, all faults are injected.
 	Only string
 	// Binary is the path of the program under test. Dir receives its settings files, its logs and the report.
@@ -65,7 +77,7 @@
 // Run performs one run. It returns an error only if the run could not be carried out; violated invariants are part of
 // the result.
 func Run(ctx context.Context, opts Options) (*Result, error) {
-	selected, err := selectFaults(opts.Only)
+	inject, err := selectInjector(opts)
 	if err != nil {
 		return nil, err
 	}
@@ -81,14 +93,15 @@
 	trafficDone := make(chan error, 1)
 	go func() { trafficDone <- d.runTraffic(trafficCtx) }()
 	sleep(ctx, quietPeriod)
-	faultCtx, stopFaults := context.WithTimeout(ctx, opts.FaultDuration)
 	in := &injector{d: d, rand: rand.New(rand.NewPCG(opts.Seed, 0)), log: func(format string, args ...any) {
 		_, _ = fmt.Fprintf(opts.Out, format+"\n", args...)
 	}}
-	in.run(faultCtx, selected)
-	stopFaults()
+	inject(ctx, in)
 	faultsEnded := time.Since(d.check.started)
 	sleep(ctx, recoveryTime+quietPeriod)
+	if opts.Shape != "" {
+		sleep(ctx, shapeTail-recoveryTime-quietPeriod)
+	}
 	stopTraffic()
 	if err := <-trafficDone; err != nil {
 		return nil, err
@@ -96,6 +109,25 @@
 	return d.result(faultsEnded), writeReport(d, opts)
 }
 
+// selectInjector returns the function that injects the faults which opts selects, and returns when they are over.
+func selectInjector(opts Options) (func(ctx context.Context, in *injector), error) {
+	if opts.Late != "" && !slices.Contains(lateKinds, opts.Late) {
+		return nil, errors.Errorf("soak: unknown kind of late starts %q: must be one of %s", opts.Late, strings.Join(lateKinds, ", "))
+	}
+	switch opts.Shape {
+	case "":
+		selected, err := selectFaults(opts.Only)
+		return func(ctx context.Context, in *injector) {
+			ctx, stop := context.WithTimeout(ctx, opts.FaultDuration)
+			defer stop()
+			in.run(ctx, selected)
+		}, err
+	case shapeRestarts:
+		return func(ctx context.Context, in *injector) { in.restarts(ctx) }, nil
+	}
+	return nil, errors.Errorf("soak: unknown shape %q: must be %s", opts.Shape, shapeRestarts)
+}
+
 func sleep(ctx context.Context, t time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -19,7 +19,8 @@
 	latencyObjective = 250 * time.Millisecond
 	requestTimeout   = 3 * time.Second
 	// maxAttempts is how often a client sends a request. Each retry opens a new flow.
-	maxAttempts    = 3
+	maxAttempts = 3
+	// usersPerClient is the default number of users of each client, and the number of users after which their kinds repeat.
 	usersPerClient = 5
 )
 
@@ -40,11 +41,16 @@
 		if err != nil {
 			return err
 		}
-		for j := range usersPerClient {
+		users := d.opts.Users
+		if users == 0 {
+			users = usersPerClient
+		}
+		for j := range users {
+			kind := j % usersPerClient
 			u := &virtualUser{
-				d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: j != 1, maxPause: maxPause, requestCounter: &requestCounter,
+				d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: kind != 1, maxPause: maxPause, requestCounter: &requestCounter,
 			}
-			if j > 1 {
+			if kind > 1 {
 				u.maxPause = maxLongPause
 			}
 			wg.Go(func() { u.run(ctx) })
