--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -46,12 +47,17 @@
 	stats map[int]*secondStats
 }
 
-// stray counts the packets of a flow that reached other servers since its own got one.
+// stray describes the packets of a flow that reached other servers since its own got one.
 type stray struct {
 	count int
 	since time.Time
+	// places has a word on each of the first packets.
+	places []string
 }
 
+// maxPlaces is the number of packets of which a stray has the places.
+const maxPlaces = 12
+
 // routeHistory says when the route of an address was added and removed and which service it leads to. removed is zero
 // while the route exists.
 type routeHistory struct {
@@ -141,7 +147,8 @@
 }
 
 // recordStray records a packet of an open flow at another server than its own. It returns how many have come, and since when.
-func (c *checker) recordStray(client, service netip.AddrPort, now time.Time) (count int, since time.Time) {
+// place says where the packet came.
+func (c *checker) recordStray(client, service netip.AddrPort, now time.Time, place string) (count int, since time.Time, places string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := [2]netip.AddrPort{client, service}
@@ -151,7 +158,10 @@
 		c.strays[key] = s
 	}
 	s.count++
-	return s.count, s.since
+	if len(s.places) < maxPlaces {
+		s.places = append(s.places, fmt.Sprintf("%s %s", now.Sub(s.since).Round(time.Millisecond), place))
+	}
+	return s.count, s.since, strings.Join(s.places, ", ")
 }
 
 // endStray records that a packet of a flow reached its server, or that the flow isn't checked now.
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -175,13 +175,13 @@
 	client, service := clientAddress, deskAddress
 	now := time.Now()
 	for i := range maxStrayPackets {
-		count, since := d.check.recordStray(client, service, now.Add(time.Duration(i)*time.Second))
+		count, since, _ := d.check.recordStray(client, service, now.Add(time.Duration(i)*time.Second), "at s-1")
 		is.Equal(count, i+1)
 		is.Equal(since, now)
 	}
 	s := startServer(t, d, nil)
 	d.Received(s, client, service, true)
-	count, _ := d.check.recordStray(client, service, now)
+	count, _, _ := d.check.recordStray(client, service, now, "at s-1")
 	is.Equal(count, 1)
 	d.Received(s, client, service, false)
 	is.Equal(len(d.check.strays), 0) // No other server holds the flow.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -93,28 +93,31 @@
 // Received checks that packets of an open flow reach the server that holds it.
 func (d *deployment) Received(s *fakes.Server, client, service netip.AddrPort, held bool) {
 	now := time.Now()
-	if held || !d.heldElsewhere(s, client, service, now) {
+	holder := d.holderElsewhere(s, now, client, service)
+	if held || holder == nil {
 		d.check.endStray(client, service)
 		return
 	}
-	if count, since := d.check.recordStray(client, service, now); count > maxStrayPackets && now.Sub(since) > maxStrayTime {
+	place := "at " + s.ID() + " beside " + s.Agent().String()
+	if count, since, places := d.check.recordStray(client, service, now, place); count > maxStrayPackets && now.Sub(since) > maxStrayTime {
 		d.check.endStray(client, service)
-		d.check.recordViolation(openFlowsKept, "%d packets of the flow from %s to %s reached other servers and none its own for %s",
-			count, client, service, now.Sub(since))
+		d.check.recordViolation(openFlowsKept, "%d packets of the flow from %s to %s reached other servers and none its own for %s; %s beside "+
+			"%s holds it, they came %s", count, client, service, now.Sub(since), holder.ID(), holder.Agent(), places)
 	}
 }
 
-// heldElsewhere reports whether another server than s holds a flow, without a fault but planned restarts at any process.
-func (d *deployment) heldElsewhere(s *fakes.Server, client, service netip.AddrPort, now time.Time) bool {
-	held := false
+// holderElsewhere returns another server than s that holds a flow, without a fault but planned restarts at any process, or nil.
+func (d *deployment) holderElsewhere(s *fakes.Server, now time.Time, client, service netip.AddrPort) *fakes.Server {
+	var holder *fakes.Server
 	for _, p := range d.Processes() {
 		if !p.Undisturbed(now, settleTime) {
-			return false
+			return nil
+		}
+		if other := d.Server(p); other != nil && other != s && other.HoldsFlow(client, service) {
+			holder = other
 		}
-		other := d.Server(p)
-		held = held || other != nil && other != s && other.HoldsFlow(client, service)
 	}
-	return held
+	return holder
 }
 
 // maxOpenDelay is how long after the first SYN of a flow a retransmission of it may still arrive at a server.
