--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -148,12 +149,25 @@
 	for _, p := range d.Agents {
 		s := d.Server(p)
 		if s != nil && s.HoldsFlow(client, service) && p.Undisturbed(now, settleTime) && d.undisturbedAt(by, now) {
-			d.check.recordViolation(openFlowsKept, "flow from %s to %s was reset by %s although server %s beside %s holds it",
-				client, service, by, s.ID(), p.Name)
+			d.check.recordViolation(openFlowsKept, "flow from %s to %s was reset by %s although server %s beside %s holds it%s",
+				client, service, by, s.ID(), p.Name, d.earlierFlows(client, service))
 		}
 	}
 }
 
+// earlierFlows says at which servers flows with the same addresses and ports have ended.
+func (d *deployment) earlierFlows(client, service netip.AddrPort) string {
+	text := ""
+	for _, p := range d.Agents {
+		if s := d.Server(p); s != nil {
+			if ago, ok := s.EndedFlow(client, service); ok {
+				text += fmt.Sprintf("; one ended at %s beside %s %s before", s.ID(), p.IP, ago.Round(time.Millisecond))
+			}
+		}
+	}
+	return text
+}
+
 // undisturbedAt reports whether the process with an IP address has seen no fault but planned restarts for settleTime.
 func (d *deployment) undisturbedAt(ip netip.Addr, now time.Time) bool {
 	for _, p := range d.Processes() {
