--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -76,10 +76,11 @@
 }
 
 // Opened checks the SYN of a flow that a server accepts.
-func (d *deployment) Opened(s *fakes.Server, _, service netip.AddrPort) {
+func (d *deployment) Opened(s *fakes.Server, client, service netip.AddrPort) {
 	now := time.Now()
 	if ackedAt := s.DrainAcked(); !ackedAt.IsZero() && now.Sub(ackedAt) > maxDrainTime {
-		d.check.recordViolation(noFlowsWhenDraining, "server %s got a new flow %s after its drain was acknowledged", s.ID(), now.Sub(ackedAt))
+		d.check.recordViolation(noFlowsWhenDraining, "server %s beside %s got a new flow from %s to %s, %s after its drain was acknowledged",
+			s.ID(), s.Agent(), client, service, now.Sub(ackedAt))
 	}
 	history, known := d.check.historyOf(service)
 	switch {
