--- a/tests/reused_ports_test.go
+++ b/tests/reused_ports_test.go
@@ -22,23 +22,26 @@
 	recordTestRun(t)
 	for i, c := range []struct {
 		name string
-		// pause is the time between the two flows from a port. killAfter makes all agents be killed after a later flow has opened,
-		// and started settleTime before its next request.
+		// pause is the time between the two flows from a port, entry the entry that gets the second request of the later flow. Entry 0
+		// had the earlier flow. killAfter makes all agents be killed after a later flow has opened, and started settleTime before
+		// its next request.
 		pause     time.Duration
+		entry     int32
 		killAfter bool
 	}{
-		{"at once", 0, false},
-		{"later", 4 * time.Second, false},
-		{"agents killed", 0, true},
+		{"at once", 0, 2, false},
+		{"later", 4 * time.Second, 2, false},
+		{"entry of the earlier flow", 4 * time.Second, 0, false},
+		{"agents killed", 0, 2, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			testReusedPorts(t, slotPorts+i, c.pause, c.killAfter)
+			testReusedPorts(t, slotPorts+i, c.pause, c.entry, c.killAfter)
 		})
 	}
 }
 
-func testReusedPorts(t *testing.T, slot int, pause time.Duration, killAfter bool) {
+func testReusedPorts(t *testing.T, slot int, pause time.Duration, secondEntry int32, killAfter bool) {
 	is := is.New(t)
 	const (
 		service = "desk"
@@ -83,7 +86,7 @@
 	}
 	lost := 0
 	request := func(f *fakes.Flow) {
-		entry.Store(2)
+		entry.Store(secondEntry)
 		if _, err := f.Do(ctx, "request"); err != nil {
 			lost++
 		}
