--- a/internal/relay/returned_test.go
+++ b/internal/relay/returned_test.go
@@ -24,3 +24,21 @@
 	tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Kind(0))
 }
+
+// Guards against a second search for a flow that has just been found: a server that wasn't the holder returns its copy of the probe late,
+// and an agent at which an earlier flow with the same key has ended replies first.
+func TestReturnedPacketOfFoundFlowIsForwarded(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.Claim}, key)
+	tr.sendFromClient(2, ack)
+	for range 2 {
+		tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	}
+	tr.returnFromAgent(tr.agentB, 1)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+	tr.Equal(len(tr.relay.searches), 0)
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -392,7 +392,12 @@
 	}
 	r.counters.Add("returned", 1)
 	r.opts.FlowLog.Info("packet returned by an agent", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))
-	if f := r.flows.Peek(key); f != nil && f.agent == agent {
+	if f := r.flows.Peek(key); f != nil {
+		if f.agent != agent && !r.opts.Cluster.Dead(f.agent) {
+			// The flow has been found at another agent since the packet was sent.
+			r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: f.service, Entry: r.opts.Self}, b, f.agent)
+			return
+		}
 		r.flows.Delete(key)
 	}
 	if s := r.searches[key]; s != nil && !s.expired(now) {
