--- a/tests/opaque_test.go
+++ b/tests/opaque_test.go
@@ -24,7 +24,8 @@
 	slotStop
 	slotOdd
 	slotStandstill
-	slotReusedPorts
+	slotEarlierFlows
+	slotProbedPorts
 )
 
 // A deployment for opaque flows must answer all requests and keep all flows while all entries and one agent are replaced
