--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -225,9 +225,14 @@
 	r.step(key, s, now)
 }
 
-// pauseSearch drops the queued packets and waits for the client's next one, which resumes the search, or for resumeInterval.
+// pauseSearch drops the queued packets and waits for the client's next one, which resumes the search, or for resumeInterval. A client that
+// has sent an RST waits for nothing.
 func (r *Relay) pauseSearch(key flow.Key, s *search, now time.Time) {
 	r.counters.Add("search_failed", 1)
+	if s.packetHeader.Rst {
+		r.removeSearch(key, s)
+		return
+	}
 	s.packets, s.paused = nil, true
 	if !s.unattended {
 		s.pausedAt = now
--- a/internal/relay/search_cost_test.go
+++ b/internal/relay/search_cost_test.go
@@ -155,3 +155,20 @@
 		})
 	}
 }
+
+// Guards against searches that go on for seconds for a client that has ended the flow itself.
+func TestSearchForResetFlowIsNotResumed(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, flow.Header{Rst: true})
+	tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
+	tr.Equal(len(tr.relay.searches), 1)
+	for deadline := time.Now().Add(time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		tr.relay.mu.Lock()
+		n := len(tr.relay.searches)
+		tr.relay.mu.Unlock()
+		if n == 0 {
+			return
+		}
+	}
+	t.Fatal("the search goes on")
+}
