--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -113,6 +113,18 @@
 	return seek.Held
 }
 
+// namesakeVerdict returns whether the server holds the flow f, which has the key of a packet of another flow. f may be nil.
+func (a *Agent) namesakeVerdict(key flow.Key, f *flowState, now time.Time) seek.Verdict {
+	if f == nil {
+		return 0
+	}
+	verdict := a.flowVerdict(key, f, now)
+	if verdict == seek.Opening && f.chosen {
+		return seek.Held
+	}
+	return verdict
+}
+
 // handleOpen sends the SYN of a flow to the server, passes it on to another agent or refuses the flow.
 func (a *Agent) handleOpen(header encap.Header, h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
@@ -208,6 +220,7 @@
 	key := h.KeyFromClient()
 	if f := a.flows.Peek(key); f != nil && f.isOtherFlow(h) {
 		a.logOtherFlow(key, f, h, now)
+		header.Verdict = a.namesakeVerdict(key, f, now)
 		a.returnToEntry(b, header, from)
 		return
 	}
@@ -221,6 +234,7 @@
 		a.resetLostFlow(key, h, "backend server has ended")
 		return
 	case a.isHeldElsewhere(key, f, header.Kind, h, now):
+		header.Verdict = a.namesakeVerdict(key, f, now)
 		a.returnToEntry(b, header, from)
 		return
 	case f == nil:
@@ -273,11 +287,11 @@
 	}
 }
 
-// returnToEntry returns a packet to the entry, which then searches for the flow's agent. The packet starts at
-// b[encap.HeaderSize:].
+// returnToEntry returns a packet to the entry, which then searches for the flow's agent. The header has the verdict on another flow with the
+// packet's key, if there is one. The packet starts at b[encap.HeaderSize:].
 func (a *Agent) returnToEntry(b []byte, header encap.Header, to netip.AddrPort) {
 	a.counters.Add("returned", 1)
-	returnHeader := encap.Header{Kind: encap.Return, Service: header.Service}
+	returnHeader := encap.Header{Kind: encap.Return, Service: header.Service, Verdict: header.Verdict}
 	returnHeader.Encode(b)
 	a.send(a.opts.EncapConn, b, to)
 }
@@ -391,7 +405,7 @@
 	if f.isOtherFlow(h) {
 		a.logOtherFlow(key, f, h, now)
 		if f.entry.IsValid() {
-			a.returnToEntry(b, encap.Header{Service: f.service}, f.entry)
+			a.returnToEntry(b, encap.Header{Service: f.service, Verdict: a.namesakeVerdict(key, f, now)}, f.entry)
 		}
 		return
 	}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -325,7 +325,7 @@
 	case encap.ListReply:
 		r.handleListReply(from, header, body, now)
 	case encap.Return:
-		r.handleReturn(from, b, body, now)
+		r.handleReturn(from, header.Verdict, b, body, now)
 	default:
 		r.counters.Add("hop_unexpected", 1)
 	}
@@ -383,8 +383,9 @@
 	r.opts.FlowLog.Info("flow moved to another agent", fields...)
 }
 
-// handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow.
-func (r *Relay) handleReturn(agent netip.AddrPort, b, body []byte, now time.Time) {
+// handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow. namesake is the agent's verdict
+// on a flow with the same key, if it knows one.
+func (r *Relay) handleReturn(agent netip.AddrPort, namesake seek.Verdict, b, body []byte, now time.Time) {
 	h, ok := r.opts.Codec.Parse(body)
 	if !ok {
 		r.counters.Add("hop_damaged", 1)
@@ -406,7 +407,7 @@
 		r.flows.Delete(key)
 	}
 	if s := r.searches[key]; s != nil && !s.expired(now) {
-		s.RecordVerdict(agent, seek.Denied, seek.Returned)
+		s.RecordReturn(agent, namesake)
 		r.advance(key, s, now)
 		return
 	}
@@ -416,6 +417,6 @@
 	}
 	r.findHolder(key, h, rt, b, now)
 	if s := r.searches[key]; s != nil {
-		s.RecordVerdict(agent, seek.Denied, seek.Returned)
+		s.RecordReturn(agent, namesake)
 	}
 }
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -86,6 +86,9 @@
 	probedAt  time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
+	// holdsNamesake means that the agent has returned a packet, but holds a flow with the same key. The packet may be a late one of an
+	// earlier flow.
+	holdsNamesake bool
 }
 
 // Search is the search for the holder of one flow. It is not safe for concurrent use.
@@ -158,7 +161,7 @@
 
 // RecordVerdict records an agent's verdict and its source. An agent that isn't a candidate becomes one only by Held or
 // Opening. One that has returned a packet of the flow can't revoke that by a reply or list, which may be of an earlier flow with the same
-// key, but by a claim. It reports whether the verdict counts.
+// key, but by a claim. While it holds such a flow, the search doesn't end with Lost. It reports whether the verdict counts.
 func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) bool {
 	for i := range s.candidates {
 		c := &s.candidates[i]
@@ -166,9 +169,10 @@
 			continue
 		}
 		if c.verdict == Denied && c.source == Returned && source != Returned && source != Claimed {
+			c.holdsNamesake = verdict == Held
 			return false
 		}
-		c.verdict, c.source, c.verdictAt = verdict, source, time.Time{}
+		c.verdict, c.source, c.verdictAt, c.holdsNamesake = verdict, source, time.Time{}, false
 		return true
 	}
 	if verdict == Held || verdict == Opening {
@@ -177,6 +181,16 @@
 	return true
 }
 
+// RecordReturn records that an agent returned a packet of the flow. namesake is its verdict on a flow with the same key, or 0.
+func (s *Search) RecordReturn(agent netip.AddrPort, namesake Verdict) {
+	s.RecordVerdict(agent, Denied, Returned)
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.agent == agent {
+			c.holdsNamesake = namesake == Held
+		}
+	}
+}
+
 // Next returns the next step at now. It records the agents of a Probe step as probed.
 func (s *Search) Next(now time.Time) Step {
 	for i := range s.candidates {
@@ -268,11 +282,12 @@
 	return n
 }
 
-// undecided reports whether an agent may hold the flow: it gave another verdict than Denied, or none without being dead.
+// undecided reports whether an agent may hold the flow: it gave another verdict than Denied, or none without being dead, or holds a flow
+// with the same key.
 func (s *Search) undecided() bool {
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if c.verdict != Denied && (c.verdict != 0 || !c.dead) {
+		if c.holdsNamesake || c.verdict != Denied && (c.verdict != 0 || !c.dead) {
 			return true
 		}
 	}
