--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -282,6 +282,10 @@
 // handleLost resets a flow that no agent holds, so that its client can reconnect at once. Nothing is reset while some
 // agents may be unknown; the search then goes on later.
 func (r *Relay) handleLost(key flow.Key, s *search, now time.Time) {
+	if f := r.flows.Peek(key); f != nil && f.openedAt.After(s.startedAt) {
+		r.removeSearch(key, s) // The client has opened a new flow from the same port.
+		return
+	}
 	r.flows.Delete(key)
 	if !r.opts.Cluster.AllAgentsKnown() {
 		r.pauseSearch(key, s, now)
