--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -134,6 +134,8 @@
 	completeByStart bool
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
+	// savedFlows is the number of open flows in the saved list.
+	savedFlows int
 	// stopping is set once the final list has been collected.
 	stopping bool
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
--- /dev/null
+++ b/internal/deliv/ended_saved_test.go
@@ -0,0 +1,71 @@
+package deliv
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/server"
+)
+
+// Guards against the reset of an open flow: its addresses and ports are those of a flow that has ended, but that the saved list keeps as
+// long as no flow is new. A later process resets the flows of the list when the server has started again.
+func TestSavedListIsReplacedOnceItsFlowsHaveEnded(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.ageFlows(minSaveAge)
+	_, save := env.agent.encodeFlowList(false)
+	env.True(save)
+	_, save = env.agent.encodeFlowList(false)
+	env.True(!save) // Nothing has changed.
+	env.closeFlow()
+	list, save := env.agent.encodeFlowList(false)
+	env.True(save)
+	var saved savedFlowList
+	env.NoErr(cbor.Unmarshal(list, &saved))
+	env.Equal(len(saved.Keys), 0)
+}
+
+// Guards against the same where the agent has reset the flows of the list and stops before a flow is new: the next process would reset
+// their addresses and ports again.
+func TestSavedListOfEarlierStartIsReplaced(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.openFlow()
+	env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+	env.agent.SaveFlowList()
+
+	successor := newTestEnv(t, false)
+	successor.store.list = env.store.list
+	later := func(hb *server.Heartbeat) { hb.StartedAt = startedAt.Add(time.Minute) }
+	successor.receiveHeartbeat(later)
+	successor.settle(func(hb *server.Heartbeat) { later(hb); hb.Sequence = 8 })
+	successor.agent.loadFlowList(context.Background())
+	successor.Equal(successor.read(successor.client), []byte{'R', 50})
+	list, save := successor.agent.encodeFlowList(false)
+	successor.True(save)
+	var saved savedFlowList
+	successor.NoErr(cbor.Unmarshal(list, &saved))
+	successor.Equal(len(saved.Keys), 0)
+}
+
+// A list is saved again after a failure, also one without flows.
+func TestEmptyListIsSavedAgainAfterFailure(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.agent.opts.FlowListStore = failingStore{}
+	env.True(env.agent.storeFlowList(context.Background(), nil) != nil)
+	_, save := env.agent.encodeFlowList(false)
+	env.True(save)
+}
+
+// failingStore is a FlowListStore that is down.
+type failingStore struct{ *memoryStore }
+
+// Save implements FlowListStore.
+func (failingStore) Save(context.Context, []byte) error { return context.DeadlineExceeded }
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -23,8 +23,9 @@
 	minSaveInterval = 6 * time.Second
 	// minSaveAge is the minimum age of a saved flow. Most flows with a single request have ended by then.
 	minSaveAge = time.Second
-	// minUnsavedFraction is the minimum fraction of flows that aren't in the last saved list for the next save.
-	minUnsavedFraction = 0.1
+	// minChangedFraction is the minimum number of flows that are missing in the last saved list or have ended since, as a fraction of the
+	// flows, for the next save.
+	minChangedFraction = 0.1
 	// saveTimeout bounds the final save at shutdown.
 	saveTimeout = 300 * time.Millisecond
 	// closedFlowTTL is how long after its last packet a closed flow counts as held. Either end retransmits what is missing at least
@@ -187,12 +188,13 @@
 	a.opts.Log.Info("final flow list", zap.Bool("saved", save && err == nil), zap.Int("bytes", len(list)), zap.Duration("took", time.Since(started)), zap.Error(err))
 }
 
-// storeFlowList writes a list to the store. After a failure all flows count as unsaved again.
+// storeFlowList writes a list to the store. After a failure all flows count as unsaved again, and the store may have a longer list.
 func (a *Agent) storeFlowList(ctx context.Context, list []byte) error {
 	if err := a.opts.FlowListStore.Save(ctx, list); err != nil {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.flows.Each(func(_ flow.Key, f *flowState) { f.saved = false })
+		a.savedFlows = maxFlows
 		return err
 	}
 	return nil
@@ -211,9 +213,11 @@
 	}
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
 	listed, unsaved := a.collectFlows(&s, final, now)
-	if !final && (unsaved == 0 || float64(unsaved) < minUnsavedFraction*float64(len(listed))) {
+	changed := unsaved + max(0, a.savedFlows-(len(listed)-unsaved))
+	if !final && (changed == 0 || float64(changed) < minChangedFraction*float64(len(listed))) {
 		return nil, false
 	}
+	a.savedFlows = len(listed)
 	for _, f := range listed {
 		f.saved = true
 	}
@@ -325,6 +329,7 @@
 	if !sameStart && !isLater && !a.server.Settled() {
 		return false // The heartbeat may be a delayed one, and the list of the running server.
 	}
+	a.savedFlows = len(keys)
 	if !sameStart {
 		a.opts.Log.Info("flows of an earlier start of the server are lost", zap.Int("flows", len(keys)), zap.String("id", hb.ID),
 			zap.String("saved", s.ServerID))
