--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// maxOpeningTime is how long after its first later packet a retransmission of a flow's SYN can arrive. Clients give up a SYN
-	// after 1.4 s.
+	// maxOpeningTime is how long after its first later packet a SYN counts as a copy of that of a flow whose SYN this entry hasn't seen.
+	// Clients give up a SYN after 1.4 s.
 	maxOpeningTime = 2 * time.Second
 	// maxHoldTime is how long a SYN waits for an agent that accepts new flows, less than the time after which clients give it up.
 	maxHoldTime = 1200 * time.Millisecond
@@ -55,7 +55,7 @@
 
 // openFlow sends a SYN to the agent chosen for the flow. A retransmission avoids the agent that left the previous SYN
 // unanswered, if there is another one. A duplicate goes to the same agent, and so does a retransmission that is late: the client
-// has received a response since.
+// has received a response since. It may have waited at a link.
 func (r *Relay) openFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	if held := r.held[key]; held != nil {
 		held.record(h)
@@ -67,7 +67,7 @@
 		f = nil
 	}
 	avoid := netip.AddrPort{}
-	if f != nil && (f.retransmissions >= h.AckNumber || now.Sub(f.openSince) < maxOpeningTime) {
+	if f != nil && (f.retransmissions >= h.AckNumber || !f.openSince.IsZero()) {
 		r.sendOpen(f.agent, netip.AddrPort{}, f.service, b)
 		return
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -195,8 +195,14 @@
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
 	tr.sendFromClient(4, ack)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
-	tr.relay.flows.Peek(key).openSince = time.Now().Add(-maxOpeningTime) // A new flow with the same key.
-	tr.sendFromClient(5, flow.Header{Syn: true, AckNumber: 1})
+	tr.relay.flows.Peek(key).openSince = time.Now().Add(-10 * maxOpeningTime) // The copy has waited at a link.
+	tr.sendFromClient(5, flow.Header{Syn: true, AckNumber: 2})
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+	tr.sendFromClient(6, ack)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	tr.cluster.agents[0].Ready = false
+	tr.sendFromClient(7, flow.Header{Syn: true, Seq: 900_000, AckNumber: 1}) // A new flow with the same key.
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
 }
 
