--- a/internal/alive/alive.go
+++ b/internal/alive/alive.go
@@ -202,6 +202,13 @@
 	return changed
 }
 
+// ForgetAttempt drops what the last attempt to connect to a suspect showed: a later one showed nothing.
+func (t *Tracker) ForgetAttempt(addr netip.AddrPort) {
+	if s := t.suspects[addr]; s != nil {
+		s.answered, s.unanswered = false, false
+	}
+}
+
 // Conclude evaluates the rounds whose replies have arrived or timed out, and returns the changes.
 func (t *Tracker) Conclude(others Others, now time.Time) []Decision {
 	var decisions []Decision
--- a/internal/memb/attempt.go
+++ b/internal/memb/attempt.go
@@ -56,9 +56,8 @@
 	delete(n.attempting, suspect)
 	if !answers && err != nil {
 		n.opts.Log.Debug("can't tell whether the instance of a silent agent runs", zap.Stringer("peer", suspect), zap.Error(err))
-		return
-	}
-	if n.suspicions.RecordAttempt(suspect, answers) {
+		n.suspicions.ForgetAttempt(suspect)
+	} else if n.suspicions.RecordAttempt(suspect, answers) {
 		n.opts.Log.Info("attempt to connect to a silent agent", zap.Stringer("peer", suspect), zap.Bool("instance_answers", answers))
 	}
 	n.concludeSuspicions(time.Now())
