--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -167,8 +167,8 @@
 	maxRestoredAckDistance = 1 << 28
 )
 
-// isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of an
-// open flow, it may be either, and must not reach a server that may get no new flows for the given reason.
+// isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of a
+// flow that isn't opening, it may be either, and must not reach a server that may get no new flows for the given reason.
 func (f *flowState) isRepeatedBy(h flow.Header, reason server.Reason) bool {
 	switch {
 	case f.phase == phaseClosed:
@@ -176,7 +176,7 @@
 	case f.synSeen:
 		return f.synSeq == h.Seq
 	}
-	return f.phase != phaseOpen || reason == server.ReasonNone
+	return f.phase == phaseOpening || reason == server.ReasonNone
 }
 
 // isOtherFlow reports whether a client's packet h certainly belongs to another flow with the same key: it is another SYN than this flow's,
