--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -185,14 +185,25 @@
 	if h.Opens() {
 		return f.synSeen && f.synSeq != h.Seq
 	}
-	if !h.Ack || !f.serverSeqKnown || f.phase != phaseOpen && f.phase != phaseClosed {
+	if f.phase != phaseOpen && f.phase != phaseClosed {
 		return false
 	}
+	return h.Ack && f.isFarFrom(h.AckNumber)
+}
+
+// isFarFrom reports whether a sequence number is certainly not one of the server's bytes on this flow.
+func (f *flowState) isFarFrom(seq uint32) bool {
 	limit := uint32(maxAckDistance)
 	if f.restored {
 		limit = maxRestoredAckDistance
 	}
-	return h.AckNumber-f.serverNextSeq+limit > 2*limit
+	return f.serverSeqKnown && seq-f.serverNextSeq+limit > 2*limit
+}
+
+// isReplacedBy reports whether a packet of the server is the SYN+ACK of another flow with the same key, whose SYN the agent took for a copy
+// of this flow's. Only a flow of a saved list may have ended without a sign.
+func (f *flowState) isReplacedBy(h flow.Header) bool {
+	return h.Syn && f.restored && f.phase == phaseOpen && f.isFarFrom(h.Seq)
 }
 
 // awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -377,6 +377,11 @@
 	if f.mayHaveEnded(h) {
 		return
 	}
+	if f.isReplacedBy(h) {
+		entry, serviceID := f.entry, f.service
+		a.removeFlow(key)
+		f = a.flows.Put(key, flowState{serverRestarts: a.server.Restarts(), entry: entry, service: serviceID, firstSeen: now}, now)
+	}
 	f.restored = false
 	if h.Syn && f.phase == phaseOpening {
 		f.synAckSeen = true
