--- a/internal/alive/alive.go
+++ b/internal/alive/alive.go
@@ -52,6 +52,8 @@
 	replyTimeout = 100 * time.Millisecond
 	// confirmationLifetime is how long a confirmed failure lasts without a further confirmation: three rounds.
 	confirmationLifetime = 3 * roundInterval
+	// attemptPause is the time between two attempts to connect to a suspect whose instance has answered.
+	attemptPause = 2 * time.Second
 	// maxRequired is the number of confirmations that suffice in a deployment of any size.
 	maxRequired = 2
 )
@@ -82,6 +84,15 @@
 	Reports []Report
 }
 
+// presence is what an attempt to connect shows of an instance.
+type presence uint8
+
+const (
+	presenceUnknown presence = iota
+	answers
+	unreachable
+)
+
 // suspect is what a Tracker holds of one suspect.
 type suspect struct {
 	// round is the latest round of questions about the suspect, asked at askedAt of as many processes as asked says.
@@ -96,8 +107,9 @@
 	// last contradiction was asked.
 	contradicted   bool
 	contradictedAt time.Time
-	// unanswered is set if the suspect's instance didn't answer the last attempt to connect, answered if it did.
-	unanswered, answered bool
+	// instance is what the last attempt to connect, which ended at attemptedAt, showed of the suspect's instance.
+	instance    presence
+	attemptedAt time.Time
 	// witnesses are the processes that contradicted in the last round that had a contradiction.
 	witnesses []netip.AddrPort
 }
@@ -190,22 +202,32 @@
 	s.reports = append(s.reports, r)
 }
 
-// RecordAttempt records whether a suspect's instance answered an attempt to connect. It reports whether that differs from the last
+// RecordAttempt records whether a suspect's instance answered an attempt to connect that ended at now. It reports whether that differs from the last
 // attempt.
-func (t *Tracker) RecordAttempt(addr netip.AddrPort, answers bool) (changed bool) {
+func (t *Tracker) RecordAttempt(addr netip.AddrPort, answered bool, now time.Time) (changed bool) {
 	s := t.suspects[addr]
 	if s == nil {
 		return false
 	}
-	changed = s.answered != answers || s.unanswered == answers
-	s.answered, s.unanswered = answers, !answers
-	return changed
+	previous := s.instance
+	s.instance, s.attemptedAt = unreachable, now
+	if answered {
+		s.instance = answers
+	}
+	return s.instance != previous
+}
+
+// AttemptDue reports whether an attempt to connect to a suspect is of use. After an answer there is none for attemptPause: a process that
+// stands still accepts no connections, and its queue of them is bounded.
+func (t *Tracker) AttemptDue(addr netip.AddrPort, now time.Time) bool {
+	s := t.suspects[addr]
+	return s != nil && (s.instance != answers || now.Sub(s.attemptedAt) >= attemptPause)
 }
 
 // ForgetAttempt drops what the last attempt to connect to a suspect showed: a later one showed nothing.
 func (t *Tracker) ForgetAttempt(addr netip.AddrPort) {
 	if s := t.suspects[addr]; s != nil {
-		s.answered, s.unanswered = false, false
+		s.instance = presenceUnknown
 	}
 }
 
@@ -228,10 +250,10 @@
 // conclude evaluates the latest round.
 func (s *suspect) conclude(others Others, now time.Time) {
 	if others.Known == 0 {
-		s.failed, s.confirmedAt = s.unanswered, now
+		s.failed, s.confirmedAt = s.instance == unreachable, now
 		return
 	}
-	s.failed = s.failed && s.unanswered && now.Sub(s.confirmedAt) <= confirmationLifetime
+	s.failed = s.failed && s.instance == unreachable && now.Sub(s.confirmedAt) <= confirmationLifetime
 	if len(s.reports) < s.asked && now.Sub(s.askedAt) < replyTimeout {
 		return
 	}
@@ -239,11 +261,16 @@
 	switch {
 	case len(witnesses) > 0:
 		s.failed, s.contradicted, s.contradictedAt, s.witnesses = false, true, s.askedAt, witnesses
-	case silent >= others.required() && s.unanswered && now.Sub(s.askedAt) <= confirmationLifetime && !s.awaitsWitness(now):
+	case silent >= others.required() && s.isUnreachable() && now.Sub(s.askedAt) <= confirmationLifetime && !s.awaitsWitness(now):
 		s.failed, s.contradicted, s.confirmedAt = true, false, s.askedAt
 	}
 }
 
+// isUnreachable reports whether the suspect's instance hasn't answered an attempt to connect that ended in the latest round.
+func (s *suspect) isUnreachable() bool {
+	return s.instance == unreachable && !s.attemptedAt.Before(s.askedAt)
+}
+
 // awaitsWitness reports whether a process that contradicted lately hasn't replied in the latest round.
 func (s *suspect) awaitsWitness(now time.Time) bool {
 	if s.contradictedAt.IsZero() || now.Sub(s.contradictedAt) > confirmationLifetime {
--- a/internal/alive/alive_test.go
+++ b/internal/alive/alive_test.go
@@ -56,13 +56,13 @@
 			round(tracker, start, c.opinions...)
 			tracker.Conclude(c.others, start.Add(replyTimeout))
 			is.True(!tracker.Failed(target)) // Nobody has tried to connect.
-			tracker.RecordAttempt(target, true)
+			tracker.RecordAttempt(target, true, start)
 			tracker.Conclude(c.others, start.Add(replyTimeout))
 			is.True(!tracker.Failed(target)) // The process stands still, or is starting.
-			tracker.RecordAttempt(target, false)
+			tracker.RecordAttempt(target, false, start)
 			tracker.Conclude(c.others, start.Add(replyTimeout))
 			is.Equal(tracker.Failed(target), c.failed)
-			tracker.RecordAttempt(target, true)
+			tracker.RecordAttempt(target, true, start)
 			tracker.Conclude(c.others, start.Add(replyTimeout))
 			is.True(!tracker.Failed(target))
 		})
@@ -93,7 +93,7 @@
 	confirm := func() *Tracker {
 		tracker := New()
 		tracker.Update([]netip.AddrPort{target})
-		tracker.RecordAttempt(target, false)
+		tracker.RecordAttempt(target, false, start)
 		round(tracker, start, int(Silent), int(Silent), int(Silent))
 		decisions := tracker.Conclude(others, start)
 		is.Equal(len(decisions), 1)
--- a/internal/alive/attempt_test.go
+++ b/internal/alive/attempt_test.go
@@ -7,19 +7,18 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a failure that rests on an attempt of long ago: later ones showed nothing, as without file descriptors, and the suspect's
-// instance may answer by now.
-func TestAttemptThatShowsNothingEndsFailure(t *testing.T) {
+// Guards against attempts that fill the queue of connections of a process that stands still, whose instance then seems not to answer.
+func TestAttemptsPauseAfterAnswer(t *testing.T) {
 	is := is.New(t)
-	others := Others{Known: 3, Heard: 3}
 	tracker := New()
+	is.True(!tracker.AttemptDue(target, start)) // It isn't suspected.
 	tracker.Update([]netip.AddrPort{target})
-	tracker.RecordAttempt(target, false)
-	round(tracker, start, int(Silent), int(Silent), int(Silent))
-	tracker.Conclude(others, start)
-	is.True(tracker.Failed(target))
+	is.True(tracker.AttemptDue(target, start))
+	tracker.RecordAttempt(target, false, start)
+	is.True(tracker.AttemptDue(target, start))
+	tracker.RecordAttempt(target, true, start)
+	is.True(!tracker.AttemptDue(target, start.Add(attemptPause-1)))
+	is.True(tracker.AttemptDue(target, start.Add(attemptPause)))
 	tracker.ForgetAttempt(target)
-	round(tracker, start.Add(roundInterval), int(Silent), int(Silent), int(Silent))
-	tracker.Conclude(others, start.Add(roundInterval))
-	is.True(!tracker.Failed(target))
+	is.True(tracker.AttemptDue(target, start))
 }
--- a/internal/memb/attempt.go
+++ b/internal/memb/attempt.go
@@ -13,7 +13,7 @@
 
 const (
 	// attemptTimeout bounds an attempt to connect to a suspect: several round trips.
-	attemptTimeout = 150 * time.Millisecond
+	attemptTimeout = 200 * time.Millisecond
 	// maxAttempts is how many attempts in a row must be unanswered, since the network may lose a packet.
 	maxAttempts = 2
 )
@@ -57,7 +57,7 @@
 	if !answers && err != nil {
 		n.opts.Log.Debug("can't tell whether the instance of a silent agent runs", zap.Stringer("peer", suspect), zap.Error(err))
 		n.suspicions.ForgetAttempt(suspect)
-	} else if n.suspicions.RecordAttempt(suspect, answers) {
+	} else if n.suspicions.RecordAttempt(suspect, answers, time.Now()) {
 		n.opts.Log.Info("attempt to connect to a silent agent", zap.Stringer("peer", suspect), zap.Bool("instance_answers", answers))
 	}
 	n.concludeSuspicions(time.Now())
@@ -70,13 +70,13 @@
 	return n.opts.Connector.Connect(ctx, control)
 }
 
-// dueAttempts returns functions that attempt to connect to the suspects, without those to which an attempt is still running. The caller
-// holds the lock.
-func (n *Node) dueAttempts(suspects []netip.AddrPort) []func() {
+// dueAttempts returns functions that attempt to connect to the suspects, without those to which an attempt is still running or of no use.
+// The caller holds the lock.
+func (n *Node) dueAttempts(suspects []netip.AddrPort, now time.Time) []func() {
 	var attempts []func()
 	for _, addr := range suspects {
 		r, ok := n.view.Get(addr)
-		if _, running := n.attempting[addr]; !ok || running {
+		if _, running := n.attempting[addr]; !ok || running || !n.suspicions.AttemptDue(addr, now) {
 			continue
 		}
 		n.attempting[addr] = struct{}{}
--- a/internal/memb/suspicion.go
+++ b/internal/memb/suspicion.go
@@ -50,7 +50,7 @@
 	if len(due) == 0 {
 		return questions{}
 	}
-	q := questions{to: n.entriesToAsk(n.suspicions.Witnesses(due, maxWitnessesAsked)), attempts: n.dueAttempts(due)}
+	q := questions{to: n.entriesToAsk(n.suspicions.Witnesses(due, maxWitnessesAsked)), attempts: n.dueAttempts(due, now)}
 	for suspects := range slices.Chunk(due, ctrl.MaxSuspects) {
 		round := n.suspicions.Ask(suspects, len(q.to), now)
 		q.queries = append(q.queries, ctrl.SilenceQuery{Round: round, Suspects: suspects})
