--- a/internal/relay/reuse_test.go
+++ b/internal/relay/reuse_test.go
@@ -78,3 +78,37 @@
 	tr.sendFromClient(2, flow.Header{Ack: true, Seq: 900_000})
 	tr.True(!tr.receivesReset())
 }
+
+// Guards against packets of an open flow that go to the server of an earlier flow with the same addresses and ports, which an entry still
+// has in its table: another entry opened the later one.
+func TestPacketOfLaterFlowIsSearchedFor(t *testing.T) {
+	for _, fin := range []bool{false, true} {
+		tr := newTestRelay(t)
+		tr.openEarlierFlow()
+		tr.sendFromClient(3, flow.Header{Ack: true, Fin: fin, Seq: 900_000_000})
+		tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
+		tr.Equal(tr.receiveKind(tr.agentA), encap.ListFlows)
+		tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
+		tr.Equal(tr.receiveKind(tr.agentB), encap.Forward)
+		tr.sendFromClient(4, flow.Header{Ack: true, Seq: 900_000_100})
+		tr.Equal(tr.receiveKind(tr.agentB), encap.Forward)
+	}
+}
+
+// Guards against a probe for a later flow that goes on to the agent of the earlier one when another agent returns it.
+func TestReturnedProbeForLaterFlowCountsInSearch(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.openEarlierFlow()
+	tr.sendFromClient(3, flow.Header{Ack: true, Seq: 900_000_000})
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		tr.Equal(tr.receiveKind(c), encap.ListFlows)
+	}
+	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
+		tr.sendFromAgent(c, encap.Header{Kind: encap.ListReply, Verdict: seek.Held})
+	}
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Probe)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Probe)
+	tr.returnFromAgent(tr.agentB, 3)
+	tr.True(tr.relay.searches[key] != nil)
+	tr.Equal(tr.relay.flows.Peek(key).agent, ptest.Addr(tr.agentA))
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -402,15 +402,14 @@
 	}
 	r.counters.Add("returned", 1)
 	r.opts.FlowLog.Info("packet returned by an agent", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))
-	if f := r.flows.Peek(key); f != nil {
-		if f.agent != agent && !r.opts.Cluster.Dead(f.agent) {
-			// The flow has been found at another agent since the packet was sent.
-			r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: f.service, Entry: r.opts.Self}, b, f.agent)
-			return
-		}
+	s := r.activeSearch(key, now)
+	if s == nil && r.forwardToHolder(agent, key, b) {
+		return
+	}
+	if f := r.flows.Peek(key); f != nil && (f.agent == agent || s == nil) {
 		r.flows.Delete(key)
 	}
-	if s := r.searches[key]; s != nil && !s.expired(now) {
+	if s != nil {
 		s.RecordReturn(agent, namesake)
 		r.advance(key, s, now)
 		return
@@ -424,3 +423,23 @@
 		s.RecordReturn(agent, namesake)
 	}
 }
+
+// activeSearch returns the search for a flow, or nil if there is none whose verdicts may still be used.
+func (r *Relay) activeSearch(key flow.Key, now time.Time) *search {
+	s := r.searches[key]
+	if s == nil || s.expired(now) {
+		return nil
+	}
+	return s
+}
+
+// forwardToHolder forwards a packet that an agent returned if the flow has been found at another agent since the packet was sent. It reports
+// whether it did so.
+func (r *Relay) forwardToHolder(agent netip.AddrPort, key flow.Key, b []byte) bool {
+	f := r.flows.Peek(key)
+	if f == nil || f.agent == agent || r.opts.Cluster.Dead(f.agent) {
+		return false
+	}
+	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: f.service, Entry: r.opts.Self}, b, f.agent)
+	return true
+}
