--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -160,7 +160,8 @@
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
 		server: server.New(serverOpts), flows: flow.NewTable[flowState](unknownIdleTimeout, maxFlows),
-		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), asked: flow.NewTable[struct{}](askedTTL, maxFlows), serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
+		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), asked: flow.NewTable[struct{}](askedTTL, maxFlows),
+		serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
 		tableCompleteAt: now.Add(unknownIdleTimeout), refusalReason: server.ReasonNoHeartbeat, mayReplaceList: opts.FirstStart,
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -113,8 +113,8 @@
 	return seek.Held
 }
 
-// namesakeVerdict returns whether the server holds the flow f, which has the key of a packet of another flow. f may be nil.
-func (a *Agent) namesakeVerdict(key flow.Key, f *flowState, now time.Time) seek.Verdict {
+// sameKeyVerdict returns whether the server holds the flow f, which has the key of a packet of another flow. f may be nil.
+func (a *Agent) sameKeyVerdict(key flow.Key, f *flowState, now time.Time) seek.Verdict {
 	if f == nil {
 		return 0
 	}
@@ -220,7 +220,7 @@
 	key := h.KeyFromClient()
 	if f := a.flows.Peek(key); f != nil && f.isOtherFlow(h) {
 		a.logOtherFlow(key, f, h, now)
-		header.Verdict = a.namesakeVerdict(key, f, now)
+		header.Verdict = a.sameKeyVerdict(key, f, now)
 		a.returnToEntry(b, header, from)
 		return
 	}
@@ -234,7 +234,7 @@
 		a.resetLostFlow(key, h, "backend server has ended")
 		return
 	case a.isHeldElsewhere(key, f, header.Kind, h, now):
-		header.Verdict = a.namesakeVerdict(key, f, now)
+		header.Verdict = a.sameKeyVerdict(key, f, now)
 		a.returnToEntry(b, header, from)
 		return
 	case f == nil:
@@ -410,7 +410,7 @@
 	if f.isOtherFlow(h) {
 		a.logOtherFlow(key, f, h, now)
 		if f.entry.IsValid() {
-			a.returnToEntry(b, encap.Header{Service: f.service, Verdict: a.namesakeVerdict(key, f, now)}, f.entry)
+			a.returnToEntry(b, encap.Header{Service: f.service, Verdict: a.sameKeyVerdict(key, f, now)}, f.entry)
 		}
 		return
 	}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -387,9 +387,9 @@
 	r.opts.FlowLog.Info("flow moved to another agent", fields...)
 }
 
-// handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow. namesake is the agent's verdict
+// handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow. sameKey is the agent's verdict
 // on a flow with the same key, if it knows one.
-func (r *Relay) handleReturn(agent netip.AddrPort, namesake seek.Verdict, b, body []byte, now time.Time) {
+func (r *Relay) handleReturn(agent netip.AddrPort, sameKey seek.Verdict, b, body []byte, now time.Time) {
 	h, ok := r.opts.Codec.Parse(body)
 	if !ok {
 		r.counters.Add("hop_damaged", 1)
@@ -410,7 +410,7 @@
 		r.flows.Delete(key)
 	}
 	if s != nil {
-		s.RecordReturn(agent, namesake)
+		s.RecordReturn(agent, sameKey)
 		r.advance(key, s, now)
 		return
 	}
@@ -420,7 +420,7 @@
 	}
 	r.findHolder(key, h, rt, b, now)
 	if s := r.searches[key]; s != nil {
-		s.RecordReturn(agent, namesake)
+		s.RecordReturn(agent, sameKey)
 	}
 }
 
--- a/internal/seek/namesake_test.go
+++ b/internal/seek/same_key_test.go
@@ -7,7 +7,7 @@
 )
 
 // Guards against the reset of an open flow whose agent returned a late packet of an earlier flow with the same key, which all agents deny.
-func TestFlowOfAgentThatHoldsNamesakeIsNotLost(t *testing.T) {
+func TestFlowOfAgentThatHoldsFlowWithSameKeyIsNotLost(t *testing.T) {
 	is := is.New(t)
 	for _, record := range []func(*Search){
 		func(s *Search) { s.RecordReturn(agentA, Held) },
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -86,9 +86,9 @@
 	probedAt  time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
-	// holdsNamesake means that the agent has returned a packet, but holds a flow with the same key. The packet may be a late one of an
+	// holdsSameKey means that the agent has returned a packet, but holds a flow with the same key. The packet may be a late one of an
 	// earlier flow.
-	holdsNamesake bool
+	holdsSameKey bool
 }
 
 // Search is the search for the holder of one flow. It is not safe for concurrent use.
@@ -169,10 +169,10 @@
 			continue
 		}
 		if c.verdict == Denied && c.source == Returned && source != Returned && source != Claimed {
-			c.holdsNamesake = verdict == Held
+			c.holdsSameKey = verdict == Held
 			return false
 		}
-		c.verdict, c.source, c.verdictAt, c.holdsNamesake = verdict, source, time.Time{}, false
+		c.verdict, c.source, c.verdictAt, c.holdsSameKey = verdict, source, time.Time{}, false
 		return true
 	}
 	if verdict == Held || verdict == Opening {
@@ -181,12 +181,12 @@
 	return true
 }
 
-// RecordReturn records that an agent returned a packet of the flow. namesake is its verdict on a flow with the same key, or 0.
-func (s *Search) RecordReturn(agent netip.AddrPort, namesake Verdict) {
+// RecordReturn records that an agent returned a packet of the flow. sameKey is its verdict on a flow with the same key, or 0.
+func (s *Search) RecordReturn(agent netip.AddrPort, sameKey Verdict) {
 	s.RecordVerdict(agent, Denied, Returned)
 	for i := range s.candidates {
 		if c := &s.candidates[i]; c.agent == agent {
-			c.holdsNamesake = namesake == Held
+			c.holdsSameKey = sameKey == Held
 		}
 	}
 }
@@ -287,7 +287,7 @@
 func (s *Search) undecided() bool {
 	for i := range s.candidates {
 		c := &s.candidates[i]
-		if c.holdsNamesake || c.verdict != Denied && (c.verdict != 0 || !c.dead) {
+		if c.holdsSameKey || c.verdict != Denied && (c.verdict != 0 || !c.dead) {
 			return true
 		}
 	}
