--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -179,7 +179,8 @@
 func (a *Agent) passOnOrRefuse(key flow.Key, header encap.Header, b []byte, reason string) {
 	passOn := a.mayPassOn(header)
 	a.opts.FlowLog.Info("new flow not taken", zap.Stringer("flow", key), zap.String("reason", reason),
-		zap.Bool("passed_on", passOn), zap.Bool("dropped", !passOn && !header.Entry.IsValid()), zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
+		zap.Bool("passed_on", passOn), zap.Bool("dropped", !passOn && !header.Entry.IsValid()),
+		zap.Stringer("second", header.Fallback), zap.Uint64("version", header.Version))
 	switch {
 	case passOn:
 		a.passOn(header, b)
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -106,7 +106,8 @@
 		refusals = f.refusals
 	}
 	r.flows.Put(key, flowState{
-		agent: first, service: route.ServiceID(service), openedAt: now, synSeq: h.Seq, clientSeq: h.Seq, clientSeqKnown: true, retransmissions: h.AckNumber, refusals: refusals, route: rt.Name,
+		agent: first, service: route.ServiceID(service), openedAt: now, synSeq: h.Seq, clientSeq: h.Seq, clientSeqKnown: true,
+		retransmissions: h.AckNumber, refusals: refusals, route: rt.Name,
 	}, now)
 	r.opts.Cluster.RecordOpen(first)
 	r.counters.Add("opened", 1)
