--- a/internal/memb/attempt.go
+++ b/internal/memb/attempt.go
@@ -32,12 +32,13 @@
 func (TCPConnector) Connect(ctx context.Context, addr netip.AddrPort) (bool, error) {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", addr.String())
+	var netErr net.Error
 	switch {
 	case err == nil:
 		return true, errors.Wrap(conn.Close(), "close connection")
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
 		return true, nil
-	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, syscall.ETIMEDOUT), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+	case errors.As(err, &netErr) && netErr.Timeout(), errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
 		return false, nil
 	}
 	return false, errors.Wrap(err, "connect")
