--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -129,6 +129,8 @@
 	// tableCompleteAt is when the flow table begins to hold all flows of the server. incompleteSince is when it last lost some:
 	// the start of the agent, or a later eviction.
 	tableCompleteAt, incompleteSince time.Time
+	// completeLogged is set while the log's last word on the table is that it is complete.
+	completeLogged bool
 	// completeByStart means that the table is complete since the agent has run since before the server started, and not only since idle flows
 	// have timed out.
 	completeByStart bool
@@ -338,12 +340,22 @@
 	defer a.mu.Unlock()
 	a.compensatePause(now)
 	a.updateReadiness(now)
+	a.logCompleteness(now)
 	a.expireRequests(now)
 	if a.server.MayHaveEnded(now) {
 		a.requestExitChecks()
 	}
 }
 
+// logCompleteness logs when the flow table becomes complete or incomplete: from then on the agent denies flows that it lacks, or doesn't.
+func (a *Agent) logCompleteness(now time.Time) {
+	if complete := a.tableComplete(now); complete != a.completeLogged {
+		a.completeLogged = complete
+		a.opts.Log.Info("flow table changed", zap.Bool("complete", complete), zap.Bool("by_server_start", a.completeByStart),
+			zap.Duration("agent_up", now.Sub(a.startedAt)), zap.Int("flows", a.flows.Len()), zap.Int("asked", a.asked.Len()))
+	}
+}
+
 // compensatePause extends the timeouts of the server and of its flows if the process has been paused. Each event calls it
 // first: after a pause, packets may be handled before the next tick, and the server would count as silent.
 func (a *Agent) compensatePause(now time.Time) {
@@ -379,6 +391,9 @@
 	a.compensatePause(now)
 	a.flows.Sweep(now, maxSweptFlows, func(k flow.Key, f *flowState) {
 		a.counters.Add("flow_expired", 1)
+		if f.restored {
+			a.opts.FlowLog.Info("restored flow expired unconfirmed", a.flowFields(k, f, now)...)
+		}
 		a.closeFlow(k, f)
 	})
 	a.denied.Sweep(now, maxSweptFlows, func(flow.Key, *struct{}) {})
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -313,7 +313,7 @@
 // one of the probed servers holds the flow. It claims the flow if the probing packet h shows that this server does.
 func (a *Agent) sendProbe(key flow.Key, f *flowState, h flow.Header, now time.Time) {
 	if f.handshakeWith(h) == choseServer {
-		a.sendClaim(key, f)
+		a.sendClaim(key, f, h, now)
 	}
 	f.probed = true
 	if !f.awaitsServer() {
@@ -443,12 +443,16 @@
 	return wasIncomplete && now.Sub(a.tableCompleteAt) < searchMargin && a.denied.Peek(key) == nil && !a.server.HasEnded()
 }
 
-// sendClaim notifies the flow's entry that this agent holds the flow.
-func (a *Agent) sendClaim(key flow.Key, f *flowState) {
+// sendClaim notifies the flow's entry that this agent holds the flow. by is the packet that shows it, for the log.
+func (a *Agent) sendClaim(key flow.Key, f *flowState, by flow.Header, now time.Time) {
 	f.claimPending = false
 	if !f.entry.IsValid() {
 		return
 	}
+	if logEntry := a.opts.FlowLog.Check(zap.InfoLevel, "flow claimed"); logEntry != nil {
+		logEntry.Write(append(a.flowFields(key, f, now), zap.Bool("by_client", by.KeyFromClient() == key), zap.Bool("syn", by.Syn),
+			zap.Bool("fin", by.Fin), zap.Int("len", by.Len))...)
+	}
 	a.sendKey(encap.Header{Kind: encap.Claim, Service: f.service}, key, f.entry)
 }
 
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -341,6 +341,9 @@
 		a.handleUnheldReset(key, f, now)
 		return
 	}
+	if h.Rst {
+		a.opts.FlowLog.Info("reset by the backend server", a.flowFields(key, f, now)...)
+	}
 	a.trackServerPacket(key, f, h, now)
 	a.sendToClient(b[encap.HeaderSize:], h.Dst.Addr())
 }
@@ -394,7 +397,7 @@
 		a.setPhase(f, phaseOpen)
 	}
 	if f.claimPending && f.isConfirmedBy(h) {
-		a.sendClaim(key, f)
+		a.sendClaim(key, f, h, now)
 	}
 	a.handleServerData(key, f, h, now)
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -518,7 +518,7 @@
 	tr.sendFromClient(1, ack)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
 	tr.relay.mu.Lock()
-	tr.relay.pauseSearch(key, tr.relay.searches[key], time.Now()) // B hasn't replied.
+	tr.relay.pauseSearch(key, tr.relay.searches[key], "test", time.Now()) // B hasn't replied.
 	tr.relay.mu.Unlock()
 	tr.cluster.possibleHolders[0].Dead, tr.cluster.allAgents[0].Dead = false, false
 	tr.sendFromClient(1, ack)
@@ -570,7 +570,7 @@
 	tr.sendFromClient(1, ack)
 	tr.relay.mu.Lock()
 	s := tr.relay.searches[key]
-	tr.relay.pauseSearch(key, s, time.Now())
+	tr.relay.pauseSearch(key, s, "test", time.Now())
 	tr.relay.mu.Unlock()
 	tr.relay.resumeUnattended(key, s)
 	for _, c := range []*net.UDPConn{tr.agentA, tr.agentB} {
@@ -690,7 +690,7 @@
 	tr.relay.mu.Lock()
 	defer tr.relay.mu.Unlock()
 	s, now := tr.relay.searches[key], time.Now()
-	tr.relay.pauseSearch(key, s, now)
+	tr.relay.pauseSearch(key, s, "test", now)
 	s.startedAt, s.pausedAt = now.Add(-age), now.Add(-age)
 }
 
@@ -765,7 +765,7 @@
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.ListReply, Verdict: seek.Held, Version: 5}) // Not exhaustive.
 	tr.relay.mu.Lock()
 	tr.True(!tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
-	tr.relay.pauseSearch(key, tr.relay.searches[key], time.Now()) // B hasn't replied.
+	tr.relay.pauseSearch(key, tr.relay.searches[key], "test", time.Now()) // B hasn't replied.
 	tr.relay.mu.Unlock()
 	tr.sendFromClient(2, ack)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Query)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -168,7 +168,7 @@
 	case seek.Probe:
 		if s.unattended || !r.allowProbes(s, len(step.Agents), now) {
 			s.CancelProbe(step.Agents)
-			r.pauseSearch(key, s, now)
+			r.pauseSearch(key, s, "probes left out", now)
 			return
 		}
 		r.counters.Add("tried", int64(len(step.Agents)))
@@ -185,7 +185,7 @@
 		}
 		r.handleLost(key, s, now)
 	case seek.Drop:
-		r.pauseSearch(key, s, now)
+		r.pauseSearch(key, s, "undecided", now)
 	}
 }
 
@@ -203,7 +203,7 @@
 func (r *Relay) searchAllServices(key flow.Key, s *search, now time.Time) {
 	all, ok := r.opts.Cluster.AllAgents(maxAgentsOfAllServices)
 	if !ok {
-		r.pauseSearch(key, s, now)
+		r.pauseSearch(key, s, "too many agents", now)
 		return
 	}
 	s.allServices = true
@@ -226,9 +226,14 @@
 }
 
 // pauseSearch drops the queued packets and waits for the client's next one, which resumes the search, or for resumeInterval. A client that
-// has sent an RST waits for nothing.
-func (r *Relay) pauseSearch(key flow.Key, s *search, now time.Time) {
+// has sent an RST waits for nothing. why is for the log.
+func (r *Relay) pauseSearch(key flow.Key, s *search, why string, now time.Time) {
 	r.counters.Add("search_failed", 1)
+	if logEntry := r.opts.FlowLog.Check(zap.InfoLevel, "search paused"); logEntry != nil {
+		n := s.Counts()
+		logEntry.Write(zap.Stringer("flow", key), zap.String("reason", why), zap.Duration("after", now.Sub(s.startedAt)), zap.Int("denied", n.Denied),
+			zap.Int("perhaps", n.Perhaps), zap.Int("opening", n.Opening), zap.Int("unanswered", n.Unanswered), zap.Int("silent", n.Silent))
+	}
 	if s.packetHeader.Rst {
 		r.removeSearch(key, s)
 		return
@@ -270,7 +275,8 @@
 
 // handleFound forwards the queued packets to the agent that holds the flow and ends the search.
 func (r *Relay) handleFound(key flow.Key, s *search, agent netip.AddrPort, now time.Time) {
-	r.opts.FlowLog.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.startedAt)))
+	r.opts.FlowLog.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.startedAt)),
+		zap.Stringer("by", s.SourceOf(agent)))
 	r.counters.Add("found", 1)
 	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now}, now)
 	for _, b := range s.packets {
@@ -288,7 +294,7 @@
 	}
 	r.flows.Delete(key)
 	if !r.opts.Cluster.AllAgentsKnown() {
-		r.pauseSearch(key, s, now)
+		r.pauseSearch(key, s, "agents may be unknown", now)
 		return
 	}
 	r.opts.FlowLog.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", !s.packetHeader.Rst),
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -282,6 +282,37 @@
 	return n
 }
 
+// Counts is the number of agents by verdict.
+type Counts struct{ Denied, Perhaps, Opening, Unanswered, Silent int }
+
+// Counts counts the agents by verdict. Silent are the dead ones without a verdict, which Unanswered includes.
+func (s *Search) Counts() Counts {
+	n := Counts{Silent: s.Silent()}
+	for i := range s.candidates {
+		switch s.candidates[i].verdict {
+		case Denied:
+			n.Denied++
+		case Perhaps:
+			n.Perhaps++
+		case Opening:
+			n.Opening++
+		case 0:
+			n.Unanswered++
+		}
+	}
+	return n
+}
+
+// SourceOf returns the source of an agent's verdict, or 0 if there is none.
+func (s *Search) SourceOf(agent netip.AddrPort) Source {
+	for i := range s.candidates {
+		if s.candidates[i].agent == agent {
+			return s.candidates[i].source
+		}
+	}
+	return 0
+}
+
 // undecided reports whether an agent may hold the flow: it gave another verdict than Denied, or none without being dead, or holds a flow
 // with the same key.
 func (s *Search) undecided() bool {
--- a/internal/seek/trace.go
+++ b/internal/seek/trace.go
@@ -25,6 +25,14 @@
 	return "unknown"
 }
 
+// String returns the source's name in traces, empty if there is no verdict.
+func (s Source) String() string {
+	if int(s) < len(sourceNames) {
+		return sourceNames[s]
+	}
+	return "unknown"
+}
+
 // Trace formats the candidates with their verdicts, the sources of these and whether they are dead, as text. ParseTrace
 // restores the search from it.
 func (s *Search) Trace() string {
