--- a/tests/opaque_test.go
+++ b/tests/opaque_test.go
@@ -26,6 +26,7 @@
 	slotStandstill
 	slotEarlierFlows
 	slotProbedPorts
+	slotStopAll
 )
 
 // A deployment for opaque flows must answer all requests and keep all flows while all entries and one agent are replaced
