soak: pauses up to the idle timeout, and users that are silent around the kill

Users paused for 4 s at most, so that each open flow was seen again soon after a restart. -maxpause lengthens the pauses of the users whose flows are mostly idle, and -aimed makes a share of all users send requests shortly before the kill of a scripted run, and then 8 to 19 s after it, with a further request between only where the flow would be idle for longer than the idle timeout. Flows that are older than that aren't ended by a FIN, which may be answered with a reset. The kinds of users and their pauses follow from the seed.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -36,6 +36,8 @@
 	shape := inv.flags.String("shape", "", "`name` of a scripted run, in place of random faults: restarts")
 	late := inv.flags.String("late", "none", "`agents` that start late in a scripted run: none, one, some or all")
 	pauses := inv.flags.Bool("pauses", false, "pause single processes in a scripted run")
+	maxPause := inv.flags.Duration("maxpause", 4*time.Second, "longest `pause` of users whose flows are mostly idle")
+	aimed := inv.flags.Float64("aimed", 0, "`share` of users that are silent from before the kill of a scripted run until 8 to 19 s after it")
 	users := inv.flags.Int("users", 5, "`number` of users of each client")
 	ports := inv.flags.Int("ports", 0, "`number` of ports that a client uses one after the other; all if 0")
 	maxFlows := inv.flags.Int("maxflows", 0, "`number` of flows that a backend server holds; no limit if 0")
@@ -57,7 +59,7 @@
 		opts := soak.Options{
 			Seed: *seed + uint64(i), FaultDuration: time.Duration(*minutes * float64(time.Minute)), Entries: *entries, Servers: *servers,
 			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Shape: *shape, Late: *late, Pauses: *pauses, Users: *users, Ports: *ports,
-			MaxFlows: *maxFlows, ByDomain: *byDomain, Binary: executable,
+			MaxFlows: *maxFlows, ByDomain: *byDomain, MaxPause: *maxPause, Aimed: *aimed, Binary: executable,
 			Dir: filepath.Join(baseDir, fmt.Sprint(*seed+uint64(i))), Out: inv.stdout,
 		}
 		if ctx.Err() != nil {
--- a/internal/local/config.go
+++ b/internal/local/config.go
@@ -14,8 +14,8 @@
 	// routeObjective and routeTimeout are the objective and the timeout of all routes.
 	routeObjective = 200 * time.Millisecond
 	routeTimeout   = 3 * time.Second
-	// idleTimeout is the idle timeout of flows in all configurations.
-	idleTimeout = 15 * time.Second
+	// IdleTimeout is the idle timeout of flows in all configurations.
+	IdleTimeout = 15 * time.Second
 )
 
 // ChangeRoutes writes a configuration that adds a route to a random service or removes one that it added before.
@@ -53,7 +53,7 @@
 	version := d.configVersion
 	d.lastRoutes = routes
 	d.mu.Unlock()
-	if err := d.Store.Configure(version, routes, idleTimeout); err != nil {
+	if err := d.Store.Configure(version, routes, IdleTimeout); err != nil {
 		return err
 	}
 	d.opts.Watcher.Configured(routes)
@@ -87,7 +87,7 @@
 	d.mu.Lock()
 	version, routes := d.configVersion, d.lastRoutes
 	d.mu.Unlock()
-	return d.Store.Configure(version, routes, idleTimeout)
+	return d.Store.Configure(version, routes, IdleTimeout)
 }
 
 // directoryPrefix begins the keys of the records that processes write to the store; their packet addresses follow.
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -37,6 +37,8 @@
 	*local.Deployment
 	opts  Options
 	check *checker
+	// startedAt is when the traffic starts.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// storeDisturbed is when a fault of the store last began or ended.
--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -46,7 +46,7 @@
 
 // restarts runs shapeRestarts.
 func (in *injector) restarts(ctx context.Context) {
-	d, started := in.d, time.Now().Add(-quietPeriod)
+	d, started := in.d, in.d.startedAt
 	at := func(t time.Duration) { sleep(ctx, time.Until(started.Add(t))) }
 	begin := func(name string, run func(r *rand.Rand)) {
 		r := rand.New(rand.NewPCG(in.rand.Uint64(), in.rand.Uint64()))
--- a/internal/soak/shape_test.go
+++ b/internal/soak/shape_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -46,3 +47,26 @@
 		}
 	}
 }
+
+// Guards against users that are silent for longer than the idle timeout, whose flows the system may discard.
+func TestAimedUsersAreSilentUntilAfterTheKill(t *testing.T) {
+	is := is.New(t)
+	d := &deployment{startedAt: time.Now()}
+	killedAt := d.startedAt.Add(killAt)
+	for seed := range uint64(1000) {
+		u := &virtualUser{rand: rand.New(rand.NewPCG(seed, 0)), maxPause: longestPause}
+		u.times = d.aimedTimes(u.rand)
+		last := u.times[len(u.times)-1].Sub(killedAt)
+		is.True(!u.times[0].After(killedAt) && u.times[0].Add(aimedLead).After(killedAt))
+		is.True(last >= minAimedAt && last < maxAimedAt)
+		now := d.startedAt
+		for len(u.times) > 0 {
+			at, aimed := u.times[0], len(u.times)
+			pause := u.nextPause(now)
+			now = now.Add(pause)
+			is.True(pause <= longestPause && !now.After(at))
+			is.Equal(len(u.times) < aimed, now.Equal(at))
+		}
+		is.Equal(now.Sub(killedAt), last)
+	}
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,10 @@
 	Loss float64
 	// Shape is the name of a scripted run, which takes the place of random faults for FaultDuration. If it is empty, there is none.
 	Shape string
+	// MaxPause is the longest pause of the users whose flows are mostly idle; 0 means maxLongPause. Aimed is the share of all users
+	// whose flows are silent from shortly before the kill of a scripted run until a time of 8 to 19 s after it.
+	MaxPause time.Duration
+	Aimed    float64
 	// Late says which agents start late in a scripted run: lateNone, lateOne, lateSome or lateAll. Pauses makes it pause single
 	// processes.
 	Late   string
@@ -89,6 +93,7 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
+	d.startedAt = time.Now()
 	trafficCtx, stopTraffic := context.WithCancel(ctx)
 	trafficDone := make(chan error, 1)
 	go func() { trafficDone <- d.runTraffic(trafficCtx) }()
@@ -114,6 +119,9 @@
 	if opts.Late != "" && !slices.Contains(lateKinds, opts.Late) {
 		return nil, errors.Errorf("soak: unknown kind of late starts %q: must be one of %s", opts.Late, strings.Join(lateKinds, ", "))
 	}
+	if opts.MaxPause < 0 || opts.MaxPause > longestPause {
+		return nil, errors.Errorf("soak: pauses of up to %s: must be at most %s", opts.MaxPause, longestPause)
+	}
 	switch opts.Shape {
 	case "":
 		selected, err := selectFaults(opts.Only)
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/platform/fakes"
 )
 
@@ -25,10 +26,21 @@
 )
 
 // minPause, maxPause and maxLongPause bound the pauses between the requests of a user, and of one whose flow is mostly idle.
+// No pause is longer than longestPause, so that the system may not discard the flow.
 const (
 	minPause     = 20 * time.Millisecond
 	maxPause     = 140 * time.Millisecond
 	maxLongPause = 4 * time.Second
+	longestPause = local.IdleTimeout - 300*time.Millisecond
+)
+
+// Times of an aimed user: aimedLead is how long before the kill it sends its last request at most, minAimedAt and maxAimedAt are when it
+// sends the next one, after the kill, and aimedBetween is the earliest time of a request between them, which it sends if the
+// pause would be longer than longestPause.
+const (
+	aimedLead              = 1500 * time.Millisecond
+	minAimedAt, maxAimedAt = 8 * time.Second, 19 * time.Second
+	aimedBetween           = 2 * time.Second
 )
 
 // runTraffic runs virtual users on each client until ctx ends. Some keep a flow open for many safe requests, one with short
@@ -46,13 +58,8 @@
 			users = usersPerClient
 		}
 		for j := range users {
-			kind := j % usersPerClient
-			u := &virtualUser{
-				d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: kind != 1, maxPause: maxPause, requestCounter: &requestCounter,
-			}
-			if kind > 1 {
-				u.maxPause = maxLongPause
-			}
+			u := d.newUser(c, i, j)
+			u.requestCounter = &requestCounter
 			wg.Go(func() { u.run(ctx) })
 		}
 	}
@@ -60,6 +67,39 @@
 	return nil
 }
 
+// newUser returns user j of client i. Options.Seed determines its kind and its pauses.
+func (d *deployment) newUser(c *fakes.Client, i, j int) *virtualUser {
+	kind := j % usersPerClient
+	u := &virtualUser{
+		d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: kind != 1, maxPause: maxPause,
+		rand: rand.New(rand.NewPCG(d.opts.Seed, uint64(i)<<32|uint64(j))),
+	}
+	if kind > 1 {
+		u.maxPause = maxLongPause
+		if d.opts.MaxPause > 0 {
+			u.maxPause = d.opts.MaxPause
+		}
+	}
+	if u.rand.Float64() < d.opts.Aimed {
+		u.reuseFlow, u.reopen, u.times = true, u.rand.IntN(2) == 0, d.aimedTimes(u.rand)
+	}
+	return u
+}
+
+// aimedTimes returns when an aimed user sends requests, but for those that it sends long before the kill and long after it.
+func (d *deployment) aimedTimes(r *rand.Rand) []time.Time {
+	between := func(shortest, longest time.Duration) time.Duration {
+		return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
+	}
+	last, next := -between(0, aimedLead), between(minAimedAt, maxAimedAt)
+	killedAt := d.startedAt.Add(killAt)
+	times := []time.Time{killedAt.Add(last)}
+	if next-last > longestPause {
+		times = append(times, killedAt.Add(between(max(aimedBetween, next-longestPause), min(next, last+longestPause))))
+	}
+	return append(times, killedAt.Add(next))
+}
+
 // virtualUser sends requests to a service, one at a time.
 type virtualUser struct {
 	d       *deployment
@@ -70,23 +110,54 @@
 	reuseFlow bool
 	// maxPause is the longest pause between two requests.
 	maxPause time.Duration
+	// times are when the user sends its next requests; aiming is set after the first of them, and no others come before the last.
+	// reopen makes the user open another flow for the first.
+	times          []time.Time
+	aiming, reopen bool
+	rand           *rand.Rand
 	// requestCounter numbers the requests of all users.
 	requestCounter *atomic.Int64
-	// flow is the open flow, nil if there is none.
-	flow *fakes.Flow
+	// flow is the open flow, nil if there is none, and lastUsed when its last request ended.
+	flow     *fakes.Flow
+	lastUsed time.Time
 }
 
 func (u *virtualUser) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		u.sendRequest(ctx)
-		select {
-		case <-ctx.Done():
-		case <-time.After(minPause + rand.N(u.maxPause-minPause)):
+		aimed := len(u.times)
+		sleep(ctx, u.nextPause(time.Now()))
+		if u.reopen && len(u.times) < aimed {
+			u.reopen = false
+			u.closeFlow()
 		}
 	}
-	if u.flow != nil {
+	u.closeFlow()
+}
+
+// nextPause returns how long the user waits before its next request.
+func (u *virtualUser) nextPause(now time.Time) time.Duration {
+	pause := minPause + time.Duration(u.rand.Int64N(int64(u.maxPause-minPause)))
+	if len(u.times) == 0 || !u.aiming && now.Add(pause).Before(u.times[0]) {
+		return pause
+	}
+	pause = max(0, u.times[0].Sub(now))
+	u.times, u.aiming = u.times[1:], true
+	return pause
+}
+
+// closeFlow closes the user's flow, if it has one. A flow that has been idle for longer than the system has to keep it isn't
+// ended by a packet, which may be answered with a reset.
+func (u *virtualUser) closeFlow() {
+	if u.flow == nil {
+		return
+	}
+	if time.Since(u.lastUsed) > local.IdleTimeout {
+		u.flow.Drop()
+	} else {
 		u.flow.Close()
 	}
+	u.flow = nil
 }
 
 // sendRequest sends a request. A safe request is retried after any failure, an unsafe one only if it has not run. The name
@@ -131,15 +202,18 @@
 func (u *virtualUser) attempt(ctx context.Context, request string) (notRun bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	if u.flow != nil && time.Since(u.lastUsed) > local.IdleTimeout {
+		u.closeFlow()
+	}
 	if u.flow == nil {
 		if u.flow, err = u.client.Open(ctx, u.d.ServiceAddress(u.service)); err != nil {
 			return true, err
 		}
 	}
 	response, err := u.flow.Do(ctx, request)
+	u.lastUsed = time.Now()
 	if err != nil || !u.reuseFlow {
-		u.flow.Close()
-		u.flow = nil
+		u.closeFlow()
 	}
 	if err != nil {
 		return false, err
