soak: loss of power, flapping entries, ports at random, services of different sizes

The scripted run ended with a kill of all processes only, its ports came back in the order of their use, both services had as many servers, and its traffic always went on for 60 s. New flags: -final power crashes the servers, too, which start again at the same addresses with new IDs or, with -sameids, with those that they had; -flaps takes one entry at a time out of rotation for 0.8 to 1.5 s after the final fault, by the fabric alone; -tail is the length of the traffic after it; -randomports and -servers2. When the traffic of a scripted run has ended, all processes are stopped as planned while the last flows are being closed, and the checks go on meanwhile; a process that doesn't stop in time is a violation. Packets that reach the holder of their flow no longer cost a look at all processes; they are judged as before.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -27,23 +28,12 @@
 	seed := inv.flags.Uint64("seed", 1, "`seed` of the first run")
 	runs := inv.flags.Int("runs", 1, "`number` of runs; each uses the next seed")
 	minutes := inv.flags.Float64("minutes", 0.5, "`minutes` of faults per run")
-	entries := inv.flags.Int("entries", 4, "`number` of entries")
-	servers := inv.flags.Int("servers", 4, "`number` of backend servers of each of two services")
-	clients := inv.flags.Int("clients", 16, "`number` of client machines")
-	slot := inv.flags.Int("slot", 0, "`number` of the address range; use different ones for runs at the same time")
-	loss := inv.flags.Float64("loss", 0.002, "`fraction` of client packets that are lost")
-	only := inv.flags.String("only", "", "comma-separated `kinds` of faults; all if empty")
-	shape := inv.flags.String("shape", "", "`name` of a scripted run, in place of random faults: restarts")
-	late := inv.flags.String("late", "none", "`agents` that start late in a scripted run: none, one, some or all")
-	pauses := inv.flags.Bool("pauses", false, "pause single processes in a scripted run")
-	maxPause := inv.flags.Duration("maxpause", 4*time.Second, "longest `pause` of users whose flows are mostly idle")
-	aimed := inv.flags.Float64("aimed", 0, "`share` of users that are silent from before the kill of a scripted run until 8 to 19 s after it")
-	users := inv.flags.Int("users", 5, "`number` of users of each client")
-	ports := inv.flags.Int("ports", 0, "`number` of ports that a client uses one after the other; all if 0")
-	maxFlows := inv.flags.Int("maxflows", 0, "`number` of flows that a backend server holds; no limit if 0")
-	byDomain := inv.flags.Bool("bydomain", false, "send each client's packets to the entries of one failure domain")
 	program := inv.flags.String("program", "", "`path` of the program to run as entries and agents; this one if empty")
 	dir := inv.flags.String("dir", "", "`directory` for settings, logs and reports; a new temporary one if empty")
+	var opts soak.Options
+	addDeploymentFlags(inv.flags, &opts)
+	addUserFlags(inv.flags, &opts)
+	addShapeFlags(inv.flags, &opts)
 	if err := inv.parse(0, 0); err != nil {
 		return err
 	}
@@ -54,14 +44,11 @@
 	if *program != "" {
 		executable = *program
 	}
+	opts.FaultDuration, opts.Binary, opts.Out = time.Duration(*minutes*float64(time.Minute)), executable, inv.stdout
 	failed := 0
 	for i := range *runs {
-		opts := soak.Options{
-			Seed: *seed + uint64(i), FaultDuration: time.Duration(*minutes * float64(time.Minute)), Entries: *entries, Servers: *servers,
-			Clients: *clients, Slot: *slot, Loss: *loss, Only: *only, Shape: *shape, Late: *late, Pauses: *pauses, Users: *users, Ports: *ports,
-			MaxFlows: *maxFlows, ByDomain: *byDomain, MaxPause: *maxPause, Aimed: *aimed, Binary: executable,
-			Dir: filepath.Join(baseDir, fmt.Sprint(*seed+uint64(i))), Out: inv.stdout,
-		}
+		opts.Seed = *seed + uint64(i)
+		opts.Dir = filepath.Join(baseDir, fmt.Sprint(opts.Seed))
 		if ctx.Err() != nil {
 			return errors.Wrap(ctx.Err(), "soak")
 		}
@@ -79,6 +66,39 @@
 	return nil
 }
 
+// addDeploymentFlags adds the flags that describe the deployment.
+func addDeploymentFlags(flags *flag.FlagSet, opts *soak.Options) {
+	flags.IntVar(&opts.Entries, "entries", 4, "`number` of entries")
+	flags.IntVar(&opts.Servers, "servers", 4, "`number` of backend servers of each of two services")
+	flags.IntVar(&opts.Servers2, "servers2", 0, "`number` of backend servers of the second service; as of the first if 0")
+	flags.IntVar(&opts.MaxFlows, "maxflows", 0, "`number` of flows that a backend server holds; no limit if 0")
+	flags.IntVar(&opts.Slot, "slot", 0, "`number` of the address range; use different ones for runs at the same time")
+	flags.Float64Var(&opts.Loss, "loss", 0.002, "`fraction` of client packets that are lost")
+	flags.BoolVar(&opts.ByDomain, "bydomain", false, "send each client's packets to the entries of one failure domain")
+}
+
+// addUserFlags adds the flags that describe clients and their users.
+func addUserFlags(flags *flag.FlagSet, opts *soak.Options) {
+	flags.IntVar(&opts.Clients, "clients", 16, "`number` of client machines")
+	flags.IntVar(&opts.Users, "users", 5, "`number` of users of each client")
+	flags.DurationVar(&opts.MaxPause, "maxpause", 4*time.Second, "longest `pause` of users whose flows are mostly idle")
+	flags.Float64Var(&opts.Aimed, "aimed", 0, "`share` of users that are silent from before the kill of a scripted run until 8 to 19 s after it")
+	flags.IntVar(&opts.Ports, "ports", 0, "`number` of ports that a client uses one after the other; all if 0")
+	flags.BoolVar(&opts.RandomPorts, "randomports", false, "use the ports at random")
+}
+
+// addShapeFlags adds the flags that select faults.
+func addShapeFlags(flags *flag.FlagSet, opts *soak.Options) {
+	flags.StringVar(&opts.Only, "only", "", "comma-separated `kinds` of faults; all if empty")
+	flags.StringVar(&opts.Shape, "shape", "", "`name` of a scripted run, in place of random faults: restarts")
+	flags.StringVar(&opts.Late, "late", "none", "`agents` that start late in a scripted run: none, one, some or all")
+	flags.BoolVar(&opts.Pauses, "pauses", false, "pause single processes in a scripted run")
+	flags.StringVar(&opts.Final, "final", "kill", "last `fault` of a scripted run: kill (of all processes) or power (lost by the servers, too)")
+	flags.BoolVar(&opts.SameIDs, "sameids", false, "start servers again with the IDs that they had before a loss of power")
+	flags.DurationVar(&opts.Tail, "tail", time.Minute, "`time` that the traffic of a scripted run goes on after the last fault")
+	flags.BoolVar(&opts.Flaps, "flaps", false, "take single entries out of rotation for a second after the last fault of a scripted run")
+}
+
 // runSoakOnce makes one run, prints its result and reports whether it had no violations.
 func (i *invocation) runSoakOnce(ctx context.Context, opts soak.Options) (passed bool, err error) {
 	if err := os.MkdirAll(opts.Dir, 0o700); err != nil {
--- a/internal/local/fabric.go
+++ b/internal/local/fabric.go
@@ -28,24 +28,44 @@
 		}
 		wg.Wait()
 		d.mu.Lock()
-		d.rotation = nil
 		for i, p := range d.Entries {
 			d.probeFailures[p]++
 			if ok[i] {
 				d.probeFailures[p] = 0
 			}
-			if d.probeFailures[p] < probeFailureThreshold {
-				d.rotation = append(d.rotation, p)
-			}
-		}
-		if len(d.rotation) == 0 {
-			d.rotation = d.Entries
 		}
+		d.updateRotation()
 		d.mu.Unlock()
 		time.Sleep(probeInterval)
 	}
 }
 
+// updateRotation selects the entries in rotation. The caller holds mu.
+func (d *Deployment) updateRotation() {
+	d.rotation = nil
+	for _, p := range d.Entries {
+		if d.isInRotation(p) {
+			d.rotation = append(d.rotation, p)
+		}
+	}
+	if len(d.rotation) == 0 {
+		d.rotation = d.Entries
+	}
+}
+
+// isInRotation reports whether an entry passes its readiness checks and isn't withdrawn. The caller holds mu.
+func (d *Deployment) isInRotation(p *Process) bool {
+	return d.probeFailures[p] < probeFailureThreshold && p != d.withdrawn
+}
+
+// Withdraw takes an entry out of rotation at once, whatever its readiness checks. With nil, no entry is withdrawn.
+func (d *Deployment) Withdraw(entry *Process) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.withdrawn = entry
+	d.updateRotation()
+}
+
 // pickEntry hashes a flow to an entry in rotation and returns the address for its next packet. It returns false if the
 // packet is lost.
 func (d *Deployment) pickEntry(client, service netip.AddrPort) (netip.AddrPort, bool) {
@@ -72,7 +92,7 @@
 			continue
 		}
 		all = append(all, p)
-		if d.probeFailures[p] < probeFailureThreshold {
+		if d.isInRotation(p) {
 			ready = append(ready, p)
 		}
 	}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -54,8 +54,9 @@
 	Loss float64
 	// ByDomain makes the fabric send each client's packets to the entries of one failure domain, as long as any of them is in rotation.
 	ByDomain bool
-	// ClientPorts is the number of ports that a client's flows use one after the other. 0 means all.
+	// ClientPorts is the number of ports that a client's flows use one after the other, or at random with RandomPorts. 0 means all.
 	ClientPorts int
+	RandomPorts bool
 	// Binary is the path of the bergamotrun executable, Dir the directory for settings and logs.
 	Binary, Dir string
 	// ServiceTime returns the service time of a request at a server of slowness 1.
@@ -116,9 +117,10 @@
 	// rotation holds the entries that the fabric sends packets to, probeFailures the consecutive failed readiness checks.
 	rotation      []*Process
 	probeFailures map[*Process]int
-	// loss is the probability that the fabric drops a client's packet, isolated the entry to which it drops all packets.
-	loss     float64
-	isolated *Process
+	// loss is the probability that the fabric drops a client's packet, isolated the entry to which it drops all packets, and withdrawn the
+	// one that is out of rotation although it is ready.
+	loss                float64
+	isolated, withdrawn *Process
 	// servers holds the current backend server next to each agent, serversStarted the number of all that were started,
 	// which numbers their IDs.
 	servers        map[*Process]*fakes.Server
@@ -279,8 +281,15 @@
 	d.mu.Lock()
 	d.serversStarted++
 	id := fmt.Sprintf("s-%d", d.serversStarted)
-	old := d.servers[p]
 	d.mu.Unlock()
+	return d.startServer(p, id, clockOffset)
+}
+
+// RestartServer starts a backend server next to an agent again, with the ID of the previous one, which it stops if it is running.
+func (d *Deployment) RestartServer(p *Process) error { return d.startServer(p, d.Server(p).ID(), 0) }
+
+func (d *Deployment) startServer(p *Process, id string, clockOffset time.Duration) error {
+	old := d.Server(p)
 	if old != nil {
 		old.Stop(false)
 	}
@@ -328,7 +337,7 @@
 func (d *Deployment) NewClient(i int) (*fakes.Client, error) {
 	c, err := fakes.NewClient(fakes.ClientOptions{
 		Address: netip.AddrPortFrom(d.opts.ip(groupClient, i), portClients), EntryFor: d.pickEntry,
-		Watcher: d.opts.Watcher, Ports: d.opts.ClientPorts, Opening: d.abandonFlow,
+		Watcher: d.opts.Watcher, Ports: d.opts.ClientPorts, RandomPorts: d.opts.RandomPorts, Opening: d.abandonFlow,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -49,11 +49,15 @@
 	d := &deployment{opts: opts, check: newChecker()}
 	localOpts := local.Options{
 		Entries: opts.Entries, Slot: opts.Slot, Loss: opts.Loss, Binary: opts.Binary, Dir: opts.Dir, Watcher: d,
-		ByDomain: opts.ByDomain, ClientPorts: opts.Ports,
+		ByDomain: opts.ByDomain, ClientPorts: opts.Ports, RandomPorts: opts.RandomPorts,
 		ServiceTime: func(string) time.Duration { return serviceTime },
 	}
-	for _, name := range services {
-		localOpts.Services = append(localOpts.Services, local.Service{Name: name, Servers: opts.Servers, Slots: slotsPerServer, MaxFlows: opts.MaxFlows})
+	for i, name := range services {
+		servers := opts.Servers
+		if i > 0 && opts.Servers2 > 0 {
+			servers = opts.Servers2
+		}
+		localOpts.Services = append(localOpts.Services, local.Service{Name: name, Servers: servers, Slots: slotsPerServer, MaxFlows: opts.MaxFlows})
 	}
 	var err error
 	d.Deployment, err = local.New(localOpts)
@@ -96,9 +100,13 @@
 
 // Received checks that packets of an open flow reach the server that holds it.
 func (d *deployment) Received(s *fakes.Server, client, service netip.AddrPort, held bool) {
+	if held {
+		d.check.endStray(client, service)
+		return
+	}
 	now := time.Now()
 	holder := d.holderElsewhere(s, now, client, service)
-	if held || holder == nil {
+	if holder == nil {
 		d.check.endStray(client, service)
 		return
 	}
--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -12,7 +12,7 @@
 )
 
 // shapeRestarts is the name of a scripted run: planned rolls that overlap, a restart of all agents, releases, a storm of
-// configurations while the store's watches are silent, and a kill of all processes.
+// configurations while the store's watches are silent, and a kill of all processes or a loss of all power.
 const shapeRestarts = "restarts"
 
 // Values of Options.Late: no agent, one, about a third of them or all start late.
@@ -25,6 +25,14 @@
 
 var lateKinds = []string{lateNone, lateOne, lateSome, lateAll}
 
+// Values of Options.Final: all processes are killed, or all instances lose their power, so that the backend servers crash, too.
+const (
+	finalKill  = "kill"
+	finalPower = "power"
+)
+
+var finalFaults = []string{finalKill, finalPower}
+
 // Times of shapeRestarts since the start of its traffic.
 const (
 	rollsAt      = 4 * time.Second
@@ -40,8 +48,14 @@
 	minDowntime, maxDowntime = 900 * time.Millisecond, 1300 * time.Millisecond
 	minLateness, maxLateness = time.Second, 10 * time.Second
 	minPauseOf, maxPauseOf   = 1500 * time.Millisecond, 4 * time.Second
-	// shapeTail is how long the traffic goes on after the last process has started.
+	// shapeTail is the default of how long the traffic goes on after the last process has started.
 	shapeTail = 60 * time.Second
+	// Entries flap from flapsAt after that on: each is out of rotation for minFlap to maxFlap, with minFlapGap to maxFlapGap between.
+	flapsAt                = settleTime
+	minFlap, maxFlap       = 800 * time.Millisecond, 1500 * time.Millisecond
+	minFlapGap, maxFlapGap = 300 * time.Millisecond, time.Second
+	// stopDelay is how long after the end of the traffic all processes are stopped.
+	stopDelay = 500 * time.Millisecond
 )
 
 // restarts runs shapeRestarts.
@@ -75,11 +89,15 @@
 	})
 	at(killAt)
 	stopPauses()
-	begin("kill all", func(r *rand.Rand) { d.killTogether(ctx, r) })
+	if d.opts.Final == finalPower {
+		begin("loss of power", func(r *rand.Rand) { d.losePower(ctx, r) })
+	} else {
+		begin("kill all", func(r *rand.Rand) { d.killTogether(ctx, r) })
+	}
 	in.wg.Wait()
 	if d.opts.Pauses {
 		begin("pauses", func(r *rand.Rand) {
-			ctx, stop := context.WithTimeout(ctx, shapeTail/2)
+			ctx, stop := context.WithTimeout(ctx, d.tailLength()/2)
 			defer stop()
 			d.pauseSingly(ctx, r)
 		})
@@ -140,6 +158,68 @@
 	wg.Wait()
 }
 
+// losePower kills all processes and crashes all servers at once, and starts them again.
+func (d *deployment) losePower(ctx context.Context, r *rand.Rand) {
+	var wg sync.WaitGroup
+	start := d.StartServer
+	if d.opts.SameIDs {
+		start = d.RestartServer
+	}
+	for _, p := range d.Agents {
+		downtime := minDowntime + time.Duration(r.Int64N(int64(maxDowntime-minDowntime)))
+		wg.Go(func() {
+			p.ServerMu.Lock()
+			defer p.ServerMu.Unlock()
+			d.Server(p).Stop(false)
+			sleep(ctx, downtime)
+			if err := start(p); err != nil {
+				d.check.recordViolation(noUnexpectedExit, "%s", err)
+			}
+			p.MarkDisturbed()
+		})
+	}
+	d.killTogether(ctx, r)
+	wg.Wait()
+}
+
+func (d *deployment) tailLength() time.Duration {
+	if d.opts.Tail > 0 {
+		return d.opts.Tail
+	}
+	return shapeTail
+}
+
+// tail waits for the rest of a scripted run's traffic. With Options.Flaps, one entry at a time leaves the rotation meanwhile.
+func (in *injector) tail(ctx context.Context) {
+	ctx, stop := context.WithTimeout(ctx, in.d.tailLength())
+	defer stop()
+	if in.d.opts.Flaps {
+		sleep(ctx, flapsAt)
+		in.log("%6.2fs entries flap", time.Since(in.d.check.started).Seconds())
+		for ctx.Err() == nil {
+			in.d.Withdraw(in.d.Entries[in.rand.IntN(len(in.d.Entries))])
+			waitRandom(ctx, in.rand, minFlap, maxFlap)
+			in.d.Withdraw(nil)
+			waitRandom(ctx, in.rand, minFlapGap, maxFlapGap)
+		}
+	}
+	<-ctx.Done()
+}
+
+// stopAll stops all processes as planned, while the last flows are being closed.
+func (d *deployment) stopAll(ctx context.Context) {
+	sleep(ctx, stopDelay)
+	var wg sync.WaitGroup
+	for _, p := range d.Processes() {
+		wg.Go(func() {
+			if !p.AwaitExit(p.Signal(syscall.SIGTERM), local.GracePeriod+time.Second) {
+				d.check.recordViolation(noUnexpectedExit, "%s did not stop within its grace period", p.Name)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // releaseServers replaces about half of the servers, a few at a time.
 func (d *deployment) releaseServers(ctx context.Context, r *rand.Rand) {
 	var wg sync.WaitGroup
--- a/internal/soak/shape_test.go
+++ b/internal/soak/shape_test.go
@@ -15,7 +15,7 @@
 // Unknown names are refused, by an error that has the name.
 func TestUnknownNamesAreRefused(t *testing.T) {
 	is := is.New(t)
-	for _, opts := range []Options{{Shape: "odd"}, {Late: "odd", Shape: shapeRestarts}, {Only: "odd"}} {
+	for _, opts := range []Options{{Shape: "odd"}, {Late: "odd", Shape: shapeRestarts}, {Only: "odd"}, {Final: "odd"}} {
 		_, err := Run(context.Background(), opts)
 		is.True(err != nil)
 		is.True(strings.Contains(err.Error(), `"odd"`))
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,8 +33,8 @@
 	// FaultDuration is how long new faults are started.
 	FaultDuration time.Duration
 	// Entries and Clients are the numbers of entries and client machines. Servers is the number of backend servers of
-	// each service.
-	Entries, Servers, Clients int
+	// each service, and Servers2, if it isn't 0, that of the second one.
+	Entries, Servers, Servers2, Clients int
 	// Slot selects the loopback addresses, so that concurrent runs don't collide: 0 to local.MaxSlots-1.
 	Slot int
 	// Loss is the fraction of the clients' packets that the fabric drops.
@@ -49,9 +49,17 @@
 	// processes.
 	Late   string
 	Pauses bool
+	// Final is the last fault of a scripted run: finalKill or finalPower, the latter with SameIDs so that servers start again with the
+	// IDs that they had. Tail is how long the traffic goes on after it; 0 means shapeTail. Flaps makes entries leave the
+	// rotation and come back meanwhile.
+	Final          string
+	SameIDs, Flaps bool
+	Tail           time.Duration
 	// Users is the number of users of each client, Ports the number of ports that a client uses one after the other, and MaxFlows the
 	// number of flows that a server holds. 0 means the default, all and no limit.
 	Users, Ports, MaxFlows int
+	// RandomPorts makes clients use their ports at random.
+	RandomPorts bool
 	// ByDomain makes each client send to the entries of one failure domain.
 	ByDomain bool
 	// Only lists the names of the faults to inject, separated by commas. If it is empty, all faults are injected.
@@ -103,14 +111,18 @@
 	}}
 	inject(ctx, in)
 	faultsEnded := time.Since(d.check.started)
-	sleep(ctx, recoveryTime+quietPeriod)
-	if opts.Shape != "" {
-		sleep(ctx, shapeTail-recoveryTime-quietPeriod)
+	if opts.Shape == "" {
+		sleep(ctx, recoveryTime+quietPeriod)
+	} else {
+		in.tail(ctx)
 	}
 	stopTraffic()
 	if err := <-trafficDone; err != nil {
 		return nil, err
 	}
+	if opts.Shape != "" {
+		d.stopAll(ctx)
+	}
 	return d.result(faultsEnded), writeReport(d, opts)
 }
 
@@ -122,6 +134,12 @@
 	if opts.MaxPause < 0 || opts.MaxPause > longestPause {
 		return nil, errors.Errorf("soak: pauses of up to %s: must be at most %s", opts.MaxPause, longestPause)
 	}
+	if opts.Final != "" && !slices.Contains(finalFaults, opts.Final) {
+		return nil, errors.Errorf("soak: unknown final fault %q: must be one of %s", opts.Final, strings.Join(finalFaults, ", "))
+	}
+	if opts.Tail != 0 && opts.Tail < recoveryTime+quietPeriod {
+		return nil, errors.Errorf("soak: traffic of %s after the faults: must be at least %s", opts.Tail, recoveryTime+quietPeriod)
+	}
 	switch opts.Shape {
 	case "":
 		selected, err := selectFaults(opts.Only)
