--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -83,6 +83,9 @@
 	flags.IntVar(&opts.Users, "users", 5, "`number` of users of each client")
 	flags.DurationVar(&opts.MaxPause, "maxpause", 4*time.Second, "longest `pause` of users whose flows are mostly idle")
 	flags.Float64Var(&opts.Aimed, "aimed", 0, "`share` of users that are silent from before the kill of a scripted run until 8 to 19 s after it")
+	flags.Float64Var(&opts.Fresh, "fresh", 0, "`share` of users that open a flow for each request, beside those that do anyway")
+	flags.IntVar(&opts.MaxResponse, "maxresponse", 0, "largest `bytes` of responses, of which a tenth have several packets; no large ones if 0")
+	flags.DurationVar(&opts.ServerIdle, "serveridle", 0, "`time` after which servers close idle flows; no limit if 0")
 	flags.IntVar(&opts.Ports, "ports", 0, "`number` of ports that a client uses one after the other; all if 0")
 	flags.BoolVar(&opts.RandomPorts, "randomports", false, "use the ports at random")
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -59,8 +59,11 @@
 	RandomPorts bool
 	// Binary is the path of the bergamotrun executable, Dir the directory for settings and logs.
 	Binary, Dir string
-	// ServiceTime returns the service time of a request at a server of slowness 1.
-	ServiceTime func(request string) time.Duration
+	// ServiceTime returns the service time of a request at a server of slowness 1. ResponseSize and IdleTime are those of
+	// fakes.ServerOptions.
+	ServiceTime  func(request string) time.Duration
+	ResponseSize func(request string) int
+	IdleTime     time.Duration
 	// Watcher receives the events of clients and servers, synchronously.
 	Watcher Watcher
 }
@@ -307,7 +310,7 @@
 		ServiceTime: func(request string) time.Duration {
 			return time.Duration(slowness * float64(d.opts.ServiceTime(request)))
 		},
-		ClockOffset: clockOffset, Watcher: d.opts.Watcher,
+		ResponseSize: d.opts.ResponseSize, IdleTime: d.opts.IdleTime, ClockOffset: clockOffset, Watcher: d.opts.Watcher,
 	})
 	if err != nil {
 		return err
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -50,7 +50,8 @@
 	localOpts := local.Options{
 		Entries: opts.Entries, Slot: opts.Slot, Loss: opts.Loss, Binary: opts.Binary, Dir: opts.Dir, Watcher: d,
 		ByDomain: opts.ByDomain, ClientPorts: opts.Ports, RandomPorts: opts.RandomPorts,
-		ServiceTime: func(string) time.Duration { return serviceTime },
+		ServiceTime: func(string) time.Duration { return serviceTime }, IdleTime: opts.ServerIdle,
+		ResponseSize: func(request string) int { return responseSize(request, opts.MaxResponse) },
 	}
 	for i, name := range services {
 		servers := opts.Servers
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -45,6 +45,12 @@
 	// whose flows are silent from shortly before the kill of a scripted run until a time of 8 to 19 s after it.
 	MaxPause time.Duration
 	Aimed    float64
+	// Fresh is the share of all users that open a flow for each of their requests, which are safe and have deadlines of 4 to 10 s.
+	Fresh float64
+	// MaxResponse is the size of the largest responses in bytes: a tenth of all have several packets. If it is 0, none has.
+	MaxResponse int
+	// ServerIdle is how long a flow may be idle until its server closes it. 0 means no limit.
+	ServerIdle time.Duration
 	// Late says which agents start late in a scripted run: lateNone, lateOne, lateSome or lateAll. Pauses makes it pause single
 	// processes.
 	Late   string
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/bergamotrun/bergamotrun/internal/local"
@@ -25,6 +27,9 @@
 	usersPerClient = 5
 )
 
+// Times of users that open a flow for each request: between minDeadline and maxDeadline after its start they give a request up.
+const minDeadline, maxDeadline = 4 * time.Second, 10 * time.Second
+
 // minPause, maxPause and maxLongPause bound the pauses between the requests of a user, and of one whose flow is mostly idle.
 // No pause is longer than longestPause, so that the system may not discard the flow.
 const (
@@ -80,7 +85,10 @@
 			u.maxPause = d.opts.MaxPause
 		}
 	}
-	if u.rand.Float64() < d.opts.Aimed {
+	switch {
+	case u.rand.Float64() < d.opts.Fresh:
+		u.reuseFlow, u.fresh, u.maxPause = false, true, maxPause
+	case u.rand.Float64() < d.opts.Aimed:
 		u.reuseFlow, u.reopen, u.times = true, u.rand.IntN(2) == 0, d.aimedTimes(u.rand)
 	}
 	return u
@@ -105,9 +113,9 @@
 	d       *deployment
 	client  *fakes.Client
 	service string
-	// reuseFlow makes the user send safe requests and keep its flow until a request fails. Otherwise it sends unsafe
-	// requests and opens a flow for each.
-	reuseFlow bool
+	// reuseFlow makes the user send safe requests and keep its flow until a request fails. Otherwise it opens a flow for each request:
+	// with fresh for safe ones with a deadline for all attempts together, half of which it gives up without a FIN, else for unsafe ones.
+	reuseFlow, fresh bool
 	// maxPause is the longest pause between two requests.
 	maxPause time.Duration
 	// times are when the user sends its next requests; aiming is set after the first of them, and no others come before the last.
@@ -165,18 +173,24 @@
 // number of the attempt.
 func (u *virtualUser) sendRequest(ctx context.Context) {
 	kind := "s"
-	if !u.reuseFlow {
+	if !u.reuseFlow && !u.fresh {
 		kind = "u"
 	}
 	name := fmt.Sprintf("%s/%s/%d", kind, u.service, u.requestCounter.Add(1))
 	u.d.check.updateStats(func(s *secondStats) { s.sent++ })
 	started := time.Now()
+	limited := ctx
+	if u.fresh {
+		var cancel context.CancelFunc
+		limited, cancel = context.WithTimeout(ctx, minDeadline+time.Duration(u.rand.Int64N(int64(maxDeadline-minDeadline))))
+		defer cancel()
+	}
 	for attempt := range maxAttempts {
 		request := name
 		if kind == "s" {
 			request = fmt.Sprintf("%s/%d", name, attempt)
 		}
-		notRun, err := u.attempt(ctx, request)
+		notRun, err := u.attempt(limited, request)
 		if err == nil {
 			late := time.Since(started) > latencyObjective
 			u.d.check.updateStats(func(s *secondStats) {
@@ -191,6 +205,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if limited.Err() != nil {
+			break
+		}
 		if kind == "u" && !notRun {
 			break
 		}
@@ -200,8 +217,11 @@
 
 // attempt sends a request once. notRun reports that the request has certainly not run.
 func (u *virtualUser) attempt(ctx context.Context, request string) (notRun bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
+	if !u.fresh {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, requestTimeout)
+		defer cancel()
+	}
 	if u.flow != nil && time.Since(u.lastUsed) > local.IdleTimeout {
 		u.closeFlow()
 	}
@@ -212,6 +232,10 @@
 	}
 	response, err := u.flow.Do(ctx, request)
 	u.lastUsed = time.Now()
+	if u.fresh && errors.Is(err, context.DeadlineExceeded) && u.rand.IntN(2) == 0 {
+		u.flow.Drop()
+		u.flow = nil
+	}
 	if err != nil || !u.reuseFlow {
 		u.closeFlow()
 	}
@@ -230,3 +254,23 @@
 	}
 	return nil
 }
+
+const (
+	// largeShare is the fraction of the responses that are large, smallestLarge the size of the smallest of them in bytes.
+	largeShare    = 0.1
+	smallestLarge = 1200
+)
+
+// responseSize returns the size of the response to a request. A share of largeShare has sizes from smallestLarge to
+// largest, of which each doubling is as frequent as the next; the others have the usual size.
+func responseSize(request string, largest int) int {
+	if largest <= smallestLarge {
+		return 0
+	}
+	sum := xxhash.Sum64String(request)
+	r := rand.New(rand.NewPCG(sum, 0))
+	if r.Float64() >= largeShare {
+		return 0
+	}
+	return int(smallestLarge * math.Pow(float64(largest)/smallestLarge, r.Float64()))
+}
