--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -27,7 +27,7 @@
 	usersPerClient = 5
 )
 
-// Times of users that open a flow for each request: between minDeadline and maxDeadline after its start they give a request up.
+// Patient users give a request up between minDeadline and maxDeadline after its start.
 const minDeadline, maxDeadline = 4 * time.Second, 10 * time.Second
 
 // minPause, maxPause and maxLongPause bound the pauses between the requests of a user, and of one whose flow is mostly idle.
@@ -76,7 +76,7 @@
 func (d *deployment) newUser(c *fakes.Client, i, j int) *virtualUser {
 	kind := j % usersPerClient
 	u := &virtualUser{
-		d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: kind != 1, maxPause: maxPause,
+		d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: kind != 1, safe: kind != 1, maxPause: maxPause,
 		rand: rand.New(rand.NewPCG(d.opts.Seed, uint64(i)<<32|uint64(j))),
 	}
 	if kind > 1 {
@@ -87,9 +87,10 @@
 	}
 	switch {
 	case u.rand.Float64() < d.opts.Fresh:
-		u.reuseFlow, u.fresh, u.maxPause = false, true, maxPause
+		u.reuseFlow, u.safe, u.patient, u.maxPause = false, true, true, maxPause
 	case u.rand.Float64() < d.opts.Aimed:
-		u.reuseFlow, u.reopen, u.times = true, u.rand.IntN(2) == 0, d.aimedTimes(u.rand)
+		u.reuseFlow, u.safe, u.patient = true, true, true
+		u.reopen, u.times = u.rand.IntN(2) == 0, d.aimedTimes(u.rand)
 	}
 	return u
 }
@@ -113,9 +114,12 @@
 	d       *deployment
 	client  *fakes.Client
 	service string
-	// reuseFlow makes the user send safe requests and keep its flow until a request fails. Otherwise it opens a flow for each request:
-	// with fresh for safe ones with a deadline for all attempts together, half of which it gives up without a FIN, else for unsafe ones.
-	reuseFlow, fresh bool
+	// reuseFlow makes the user keep its flow until a request fails. Otherwise it opens a flow for each request. safe makes it send
+	// safe requests.
+	reuseFlow, safe bool
+	// patient makes the user wait for a response until a deadline for all attempts together, and give up half of the requests without a
+	// FIN.
+	patient bool
 	// maxPause is the longest pause between two requests.
 	maxPause time.Duration
 	// times are when the user sends its next requests; aiming is set after the first of them, and no others come before the last.
@@ -173,14 +177,14 @@
 // number of the attempt.
 func (u *virtualUser) sendRequest(ctx context.Context) {
 	kind := "s"
-	if !u.reuseFlow && !u.fresh {
+	if !u.safe {
 		kind = "u"
 	}
 	name := fmt.Sprintf("%s/%s/%d", kind, u.service, u.requestCounter.Add(1))
 	u.d.check.updateStats(func(s *secondStats) { s.sent++ })
 	started := time.Now()
 	limited := ctx
-	if u.fresh {
+	if u.patient {
 		var cancel context.CancelFunc
 		limited, cancel = context.WithTimeout(ctx, minDeadline+time.Duration(u.rand.Int64N(int64(maxDeadline-minDeadline))))
 		defer cancel()
@@ -217,7 +221,7 @@
 
 // attempt sends a request once. notRun reports that the request has certainly not run.
 func (u *virtualUser) attempt(ctx context.Context, request string) (notRun bool, err error) {
-	if !u.fresh {
+	if !u.patient {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, requestTimeout)
 		defer cancel()
@@ -232,7 +236,7 @@
 	}
 	response, err := u.flow.Do(ctx, request)
 	u.lastUsed = time.Now()
-	if u.fresh && errors.Is(err, context.DeadlineExceeded) && u.rand.IntN(2) == 0 {
+	if u.patient && errors.Is(err, context.DeadlineExceeded) && u.rand.IntN(2) == 0 {
 		u.flow.Drop()
 		u.flow = nil
 	}
