--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -93,7 +93,7 @@
 // addShapeFlags adds the flags that select faults.
 func addShapeFlags(flags *flag.FlagSet, opts *soak.Options) {
 	flags.StringVar(&opts.Only, "only", "", "comma-separated `kinds` of faults; all if empty")
-	flags.StringVar(&opts.Shape, "shape", "", "`name` of a scripted run, in place of random faults: restarts")
+	flags.StringVar(&opts.Shape, "shape", "", "`name` of a scripted run, in place of random faults: restarts, or final for its last fault only")
 	flags.StringVar(&opts.Late, "late", "none", "`agents` that start late in a scripted run: none, one, some or all")
 	flags.BoolVar(&opts.Pauses, "pauses", false, "pause single processes in a scripted run")
 	flags.StringVar(&opts.Final, "final", "kill", "last `fault` of a scripted run: kill (of all processes) or power (lost by the servers, too)")
--- a/internal/soak/shape.go
+++ b/internal/soak/shape.go
@@ -15,6 +15,9 @@
 // configurations while the store's watches are silent, and a kill of all processes or a loss of all power.
 const shapeRestarts = "restarts"
 
+// shapeFinal is the name of a scripted run that has the final fault only.
+const shapeFinal = "final"
+
 // Values of Options.Late: no agent, one, about a third of them or all start late.
 const (
 	lateNone = "none"
@@ -40,6 +43,7 @@
 	releasesAt   = 9 * time.Second
 	stormAt      = 24 * time.Second
 	killAt       = 34 * time.Second
+	finalAt      = 14 * time.Second // In shapeFinal.
 	releaseRound = time.Second
 	// entryBatch and agentBatch are how many entries and agents a planned roll restarts together, batchGap the time between batches.
 	entryBatch, agentBatch = 4, 12
@@ -58,45 +62,62 @@
 	stopDelay = 500 * time.Millisecond
 )
 
+// killedAt returns when a scripted run's final fault comes.
+func (d *deployment) killedAt() time.Time {
+	if d.opts.Shape == shapeFinal {
+		return d.startedAt.Add(finalAt)
+	}
+	return d.startedAt.Add(killAt)
+}
+
+// start logs a fault and starts it with random choices of its own.
+func (in *injector) start(name string, run func(r *rand.Rand)) {
+	r := rand.New(rand.NewPCG(in.rand.Uint64(), in.rand.Uint64()))
+	in.log("%6.2fs %s", time.Since(in.d.check.started).Seconds(), name)
+	in.d.check.updateStats(func(s *secondStats) { s.faults++ })
+	in.wg.Go(func() { run(r) })
+}
+
 // restarts runs shapeRestarts.
 func (in *injector) restarts(ctx context.Context) {
-	d, started := in.d, in.d.startedAt
-	at := func(t time.Duration) { sleep(ctx, time.Until(started.Add(t))) }
-	begin := func(name string, run func(r *rand.Rand)) {
-		r := rand.New(rand.NewPCG(in.rand.Uint64(), in.rand.Uint64()))
-		in.log("%6.2fs %s", time.Since(d.check.started).Seconds(), name)
-		d.check.updateStats(func(s *secondStats) { s.faults++ })
-		in.wg.Go(func() { run(r) })
-	}
+	d := in.d
+	at := func(t time.Duration) { sleep(ctx, time.Until(d.startedAt.Add(t))) }
 	at(rollsAt)
-	begin("roll entries", func(r *rand.Rand) { d.rollInBatches(ctx, r, d.Entries, entryBatch) })
+	in.start("roll entries", func(r *rand.Rand) { d.rollInBatches(ctx, r, d.Entries, entryBatch) })
 	at(agentsAt)
-	begin("restart agents", func(r *rand.Rand) { d.rollInBatches(ctx, r, d.Agents, agentBatch) })
+	in.start("restart agents", func(r *rand.Rand) { d.rollInBatches(ctx, r, d.Agents, agentBatch) })
 	at(releasesAt)
-	begin("releases", func(r *rand.Rand) { d.releaseServers(ctx, r) })
+	in.start("releases", func(r *rand.Rand) { d.releaseServers(ctx, r) })
 	pauseCtx, stopPauses := context.WithCancel(ctx)
 	if d.opts.Pauses {
-		begin("pauses", func(r *rand.Rand) { d.pauseSingly(pauseCtx, r) })
+		in.start("pauses", func(r *rand.Rand) { d.pauseSingly(pauseCtx, r) })
 	}
 	at(stormAt)
-	begin("configurations, watches silent", func(r *rand.Rand) {
+	in.start("configurations, watches silent", func(r *rand.Rand) {
 		d.Store.Inject(fakes.Faults{SilenceWatches: true})
-		for time.Since(started) < killAt-time.Second && ctx.Err() == nil {
+		for time.Until(d.killedAt()) > time.Second && ctx.Err() == nil {
 			d.changeRoutes(r)
 			waitRandom(ctx, r, 200*time.Millisecond, 500*time.Millisecond)
 		}
 		d.Store.Inject(fakes.Faults{})
 	})
-	at(killAt)
+	sleep(ctx, time.Until(d.killedAt()))
 	stopPauses()
+	in.injectFinalFault(ctx)
+}
+
+// injectFinalFault injects the final fault of a scripted run and returns when all processes have started again.
+func (in *injector) injectFinalFault(ctx context.Context) {
+	d := in.d
+	sleep(ctx, time.Until(d.killedAt()))
 	if d.opts.Final == finalPower {
-		begin("loss of power", func(r *rand.Rand) { d.losePower(ctx, r) })
+		in.start("loss of power", func(r *rand.Rand) { d.losePower(ctx, r) })
 	} else {
-		begin("kill all", func(r *rand.Rand) { d.killTogether(ctx, r) })
+		in.start("kill all", func(r *rand.Rand) { d.killTogether(ctx, r) })
 	}
 	in.wg.Wait()
 	if d.opts.Pauses {
-		begin("pauses", func(r *rand.Rand) {
+		in.start("pauses", func(r *rand.Rand) {
 			ctx, stop := context.WithTimeout(ctx, d.tailLength()/2)
 			defer stop()
 			d.pauseSingly(ctx, r)
--- a/internal/soak/shape_test.go
+++ b/internal/soak/shape_test.go
@@ -52,7 +52,7 @@
 func TestAimedUsersAreSilentUntilAfterTheKill(t *testing.T) {
 	is := is.New(t)
 	d := &deployment{startedAt: time.Now()}
-	killedAt := d.startedAt.Add(killAt)
+	killedAt := d.killedAt()
 	for seed := range uint64(1000) {
 		u := &virtualUser{rand: rand.New(rand.NewPCG(seed, 0)), maxPause: longestPause}
 		u.times = d.aimedTimes(u.rand)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -156,8 +156,10 @@
 		}, err
 	case shapeRestarts:
 		return func(ctx context.Context, in *injector) { in.restarts(ctx) }, nil
+	case shapeFinal:
+		return func(ctx context.Context, in *injector) { in.injectFinalFault(ctx) }, nil
 	}
-	return nil, errors.Errorf("soak: unknown shape %q: must be %s", opts.Shape, shapeRestarts)
+	return nil, errors.Errorf("soak: unknown shape %q: must be %s or %s", opts.Shape, shapeRestarts, shapeFinal)
 }
 
 func sleep(ctx context.Context, t time.Duration) {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -101,7 +101,7 @@
 		return shortest + time.Duration(r.Int64N(int64(longest-shortest)))
 	}
 	last, next := -between(0, aimedLead), between(minAimedAt, maxAimedAt)
-	killedAt := d.startedAt.Add(killAt)
+	killedAt := d.killedAt()
 	times := []time.Time{killedAt.Add(last)}
 	if next-last > longestPause {
 		times = append(times, killedAt.Add(between(max(aimedBetween, next-longestPause), min(next, last+longestPause))))
