--- a/internal/soak/shape_test.go
+++ b/internal/soak/shape_test.go
@@ -70,3 +70,20 @@
 		is.Equal(now.Sub(killedAt), last)
 	}
 }
+
+// After a loss of power servers run again, with new IDs or with those that they had, and hold nothing.
+func TestServersStartAgainAfterLossOfPower(t *testing.T) {
+	is := is.New(t)
+	d := newTestDeployment(t, 22)
+	for _, p := range d.Agents {
+		is.NoErr(d.StartServer(p))
+	}
+	p := d.Agents[0]
+	for _, sameIDs := range []bool{false, true} {
+		before := d.Server(p)
+		d.opts.SameIDs = sameIDs
+		d.losePower(context.Background(), rand.New(rand.NewPCG(1, 0)))
+		is.True(d.Server(p) != before)
+		is.Equal(d.Server(p).ID() == before.ID(), sameIDs)
+	}
+}
