tests: the soak's final faults with silent flows

kill-all-idle and power-idle play the final fault alone, 14 s after the traffic's start: flows of a request each and flows that are silent for up to 14 s, on 40 ports for each client that come back at random, responses of up to 60 kB, and one entry at a time out of rotation afterwards. The cases are keyed now, as they have one field more, and have slots that no other test uses.

--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/bergamotrun/bergamotrun/internal/local"
 	"github.com/bergamotrun/bergamotrun/internal/soak"
 )
 
@@ -22,26 +21,47 @@
 	duration time.Duration
 	// reason is the failure that the seed has reproduced, or the purpose of the case.
 	reason string
+	// change changes the options, if it isn't nil.
+	change func(opts *soak.Options)
 }
 
+// finalFault changes the options to those of a short scripted run, whose flows are silent for up to the idle timeout around the final
+// fault, from ports that come back.
+func finalFault(final string) func(opts *soak.Options) {
+	return func(opts *soak.Options) {
+		opts.Shape, opts.Final, opts.Tail, opts.Flaps = "final", final, finalFaultTail, true
+		opts.Servers, opts.Servers2, opts.Users, opts.Aimed, opts.Fresh = 4, 2, 8, 1, 0.4
+		opts.Ports, opts.RandomPorts, opts.ByDomain = 40, true, true
+		opts.MaxPause, opts.MaxResponse = 14*time.Second, 60_000
+	}
+}
+
+// finalFaultTail is how long the traffic of finalFault goes on after the fault: longer than the idle timeout and the margin after it.
+const finalFaultTail = 22 * time.Second
+
 // soakCases run in CI. A seed that has failed once stays in the list, with the cause of the failure.
 var soakCases = []soakCase{
-	{"mixed", 1, "", 12 * time.Second, "a mix of all faults"},
-	{"kill-all", 2, "kill all", 5 * time.Second, "open flows are found again after a kill of all processes"},
-	{"servers", 789, "server replaced,server crashes", 8 * time.Second,
-		"the port of a fake server was still in use: its listener was open, and a child process held a copy of its socket (no fault " +
+	{name: "mixed", seed: 1, faults: "", duration: 12 * time.Second, reason: "a mix of all faults"},
+	{name: "kill-all", seed: 2, faults: "kill all", duration: 5 * time.Second, reason: "open flows are found again after a kill of all processes"},
+	{name: "servers", seed: 789, faults: "server replaced,server crashes", duration: 8 * time.Second,
+		reason: "the port of a fake server was still in use: its listener was open, and a child process held a copy of its socket (no fault " +
 			"of the system)"},
-	{"store", 3, "store silent,store forgets,store revokes,configurations", 8 * time.Second, "configuration changes while the store fails"},
-	{"planned", 4, "roll entries,roll agents,server replaced", 8 * time.Second, "planned operations alone break no flow"},
-	{"agents", 4, "roll agents", 8 * time.Second,
-		"flows learned before a server's first heartbeat were attributed to an earlier start of the server, and reset"},
-	{"agents-together", 21, "roll all agents,roll entries", 8 * time.Second,
-		"packets of open flows reached only other servers: lists of flows lacked some, and probes waited for free slots; seeds 21, 31, " +
+	{name: "store", seed: 3, faults: "store silent,store forgets,store revokes,configurations", duration: 8 * time.Second, reason: "configuration changes while the store fails"},
+	{name: "planned", seed: 4, faults: "roll entries,roll agents,server replaced", duration: 8 * time.Second, reason: "planned operations alone break no flow"},
+	{name: "agents", seed: 4, faults: "roll agents", duration: 8 * time.Second,
+		reason: "flows learned before a server's first heartbeat were attributed to an earlier start of the server, and reset"},
+	{name: "agents-together", seed: 21, faults: "roll all agents,roll entries", duration: 8 * time.Second,
+		reason: "packets of open flows reached only other servers: lists of flows lacked some, and probes waited for free slots; seeds 21, 31, " +
 			"32 and 34 reproduced it with 12 servers of each service, 5 entries and 24 clients in 24 s"},
-	{"restored", 4, "store restored,configurations,kill processes", 8 * time.Second,
-		"after the store's return from an older copy, processes that had started since the copy were listed by their predecessors' records"},
+	{name: "restored", seed: 4, faults: "store restored,configurations,kill processes", duration: 8 * time.Second,
+		reason: "after the store's return from an older copy, processes that had started since the copy were listed by their predecessors' records"},
+	{name: "kill-all-idle", seed: 42, reason: "silent flows after a kill of all processes", change: finalFault("kill")},
+	{name: "power-idle", seed: 43, reason: "new flows after a loss of power", change: finalFault("power")},
 }
 
+// soakSlots are the slots of the cases. Tests of package soak use those between.
+var soakSlots = []int{39, 38, 37, 36, 35, 34, 33, 32, 21, 20}
+
 // TestSoak fails if a run of the soak finds a violation.
 func TestSoak(t *testing.T) {
 	recordTestRun(t)
@@ -50,10 +70,14 @@
 			t.Parallel()
 			is := is.New(t)
 			dir := t.TempDir()
-			report, err := soak.Run(context.Background(), soak.Options{
-				Seed: c.seed, FaultDuration: c.duration, Entries: 3, Servers: 3, Clients: 8, Slot: local.MaxSlots - 1 - i, Loss: 0.002,
+			opts := soak.Options{
+				Seed: c.seed, FaultDuration: c.duration, Entries: 3, Servers: 3, Clients: 8, Slot: soakSlots[i], Loss: 0.002,
 				Only: c.faults, Binary: binary, Dir: dir, Out: testWriter{t},
-			})
+			}
+			if c.change != nil {
+				c.change(&opts)
+			}
+			report, err := soak.Run(context.Background(), opts)
 			is.NoErr(err)
 			t.Logf("%+v", *report)
 			for _, violation := range report.Violations {
