--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -37,6 +37,8 @@
 	*local.Deployment
 	opts  Options
 	check *checker
+	// startedAt is when the traffic starts.
+	startedAt time.Time
 
 	mu sync.Mutex
 	// storeDisturbed is when a fault of the store last began or ended.
@@ -47,11 +49,16 @@
 	d := &deployment{opts: opts, check: newChecker()}
 	localOpts := local.Options{
 		Entries: opts.Entries, Slot: opts.Slot, Loss: opts.Loss, Binary: opts.Binary, Dir: opts.Dir, Watcher: d,
-		ByDomain: opts.ByDomain, ClientPorts: opts.Ports,
-		ServiceTime: func(string) time.Duration { return serviceTime },
+		ByDomain: opts.ByDomain, ClientPorts: opts.Ports, RandomPorts: opts.RandomPorts,
+		ServiceTime: func(string) time.Duration { return serviceTime }, IdleTime: opts.ServerIdle,
+		ResponseSize: func(request string) int { return responseSize(request, opts.MaxResponse) },
 	}
-	for _, name := range services {
-		localOpts.Services = append(localOpts.Services, local.Service{Name: name, Servers: opts.Servers, Slots: slotsPerServer, MaxFlows: opts.MaxFlows})
+	for i, name := range services {
+		servers := opts.Servers
+		if i > 0 && opts.Servers2 > 0 {
+			servers = opts.Servers2
+		}
+		localOpts.Services = append(localOpts.Services, local.Service{Name: name, Servers: servers, Slots: slotsPerServer, MaxFlows: opts.MaxFlows})
 	}
 	var err error
 	d.Deployment, err = local.New(localOpts)
@@ -94,9 +101,13 @@
 
 // Received checks that packets of an open flow reach the server that holds it.
 func (d *deployment) Received(s *fakes.Server, client, service netip.AddrPort, held bool) {
+	if held {
+		d.check.endStray(client, service)
+		return
+	}
 	now := time.Now()
 	holder := d.holderElsewhere(s, now, client, service)
-	if held || holder == nil {
+	if holder == nil {
 		d.check.endStray(client, service)
 		return
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,21 +33,39 @@
 	// FaultDuration is how long new faults are started.
 	FaultDuration time.Duration
 	// Entries and Clients are the numbers of entries and client machines. Servers is the number of backend servers of
-	// each service.
-	Entries, Servers, Clients int
+	// each service, and Servers2, if it isn't 0, that of the second one.
+	Entries, Servers, Servers2, Clients int
 	// Slot selects the loopback addresses, so that concurrent runs don't collide: 0 to local.MaxSlots-1.
 	Slot int
 	// Loss is the fraction of the clients' packets that the fabric drops.
 	Loss float64
 	// Shape is the name of a scripted run, which takes the place of random faults for FaultDuration. If it is empty, there is none.
 	Shape string
+	// MaxPause is the longest pause of the users whose flows are mostly idle; 0 means maxLongPause. Aimed is the share of all users
+	// whose flows are silent from shortly before the kill of a scripted run until a time of 8 to 19 s after it.
+	MaxPause time.Duration
+	Aimed    float64
+	// Fresh is the share of all users that open a flow for each of their requests, which are safe and have deadlines of 4 to 10 s.
+	Fresh float64
+	// MaxResponse is the size of the largest responses in bytes: a tenth of all have several packets. If it is 0, none has.
+	MaxResponse int
+	// ServerIdle is how long a flow may be idle until its server closes it. 0 means no limit.
+	ServerIdle time.Duration
 	// Late says which agents start late in a scripted run: lateNone, lateOne, lateSome or lateAll. Pauses makes it pause single
 	// processes.
 	Late   string
 	Pauses bool
+	// Final is the last fault of a scripted run: finalKill or finalPower, the latter with SameIDs so that servers start again with the
+	// IDs that they had. Tail is how long the traffic goes on after it; 0 means shapeTail. Flaps makes entries leave the
+	// rotation and come back meanwhile.
+	Final          string
+	SameIDs, Flaps bool
+	Tail           time.Duration
 	// Users is the number of users of each client, Ports the number of ports that a client uses one after the other, and MaxFlows the
 	// number of flows that a server holds. 0 means the default, all and no limit.
 	Users, Ports, MaxFlows int
+	// RandomPorts makes clients use their ports at random.
+	RandomPorts bool
 	// ByDomain makes each client send to the entries of one failure domain.
 	ByDomain bool
 	// Only lists the names of the faults to inject, separated by commas. If it is empty, all faults are injected.
@@ -89,6 +107,7 @@
 	if err := d.Start(ctx); err != nil {
 		return nil, err
 	}
+	d.startedAt = time.Now()
 	trafficCtx, stopTraffic := context.WithCancel(ctx)
 	trafficDone := make(chan error, 1)
 	go func() { trafficDone <- d.runTraffic(trafficCtx) }()
@@ -98,14 +117,18 @@
 	}}
 	inject(ctx, in)
 	faultsEnded := time.Since(d.check.started)
-	sleep(ctx, recoveryTime+quietPeriod)
-	if opts.Shape != "" {
-		sleep(ctx, shapeTail-recoveryTime-quietPeriod)
+	if opts.Shape == "" {
+		sleep(ctx, recoveryTime+quietPeriod)
+	} else {
+		in.tail(ctx)
 	}
 	stopTraffic()
 	if err := <-trafficDone; err != nil {
 		return nil, err
 	}
+	if opts.Shape != "" {
+		d.stopAll(ctx)
+	}
 	return d.result(faultsEnded), writeReport(d, opts)
 }
 
@@ -114,6 +137,15 @@
 	if opts.Late != "" && !slices.Contains(lateKinds, opts.Late) {
 		return nil, errors.Errorf("soak: unknown kind of late starts %q: must be one of %s", opts.Late, strings.Join(lateKinds, ", "))
 	}
+	if opts.MaxPause < 0 || opts.MaxPause > longestPause {
+		return nil, errors.Errorf("soak: pauses of up to %s: must be at most %s", opts.MaxPause, longestPause)
+	}
+	if opts.Final != "" && !slices.Contains(finalFaults, opts.Final) {
+		return nil, errors.Errorf("soak: unknown final fault %q: must be one of %s", opts.Final, strings.Join(finalFaults, ", "))
+	}
+	if opts.Tail != 0 && opts.Tail < recoveryTime+quietPeriod {
+		return nil, errors.Errorf("soak: traffic of %s after the faults: must be at least %s", opts.Tail, recoveryTime+quietPeriod)
+	}
 	switch opts.Shape {
 	case "":
 		selected, err := selectFaults(opts.Only)
@@ -124,8 +156,10 @@
 		}, err
 	case shapeRestarts:
 		return func(ctx context.Context, in *injector) { in.restarts(ctx) }, nil
+	case shapeFinal:
+		return func(ctx context.Context, in *injector) { in.injectFinalFault(ctx) }, nil
 	}
-	return nil, errors.Errorf("soak: unknown shape %q: must be %s", opts.Shape, shapeRestarts)
+	return nil, errors.Errorf("soak: unknown shape %q: must be %s or %s", opts.Shape, shapeRestarts, shapeFinal)
 }
 
 func sleep(ctx context.Context, t time.Duration) {
