tests: reproduce resets of open flows 18.5 s after a kill of all processes

Fails on this code:

35.29s open flows are kept: flow from 127.134.0.6:1039 to 198.18.0.2:8443 was reset by 127.132.0.1 although server s-4 beside deliver-3 holds it --- FAIL: TestSoak/reused-ports (40.62s)

--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// reusedPorts changes the options to those of a short scripted run with long flows only, each of which is silent around a kill of all
+// processes, from ports that had other flows shortly before.
+func reusedPorts(opts *soak.Options) {
+	finalFault("kill")(opts)
+	opts.Flaps, opts.Fresh, opts.Servers, opts.Servers2, opts.Users = false, 0, 2, 2, 30
+	opts.MaxPause, opts.MaxResponse = 14700*time.Millisecond, 0
+}
+
 // finalFaultTail is how long the traffic of finalFault goes on after the fault: longer than the idle timeout and the margin after it.
 const finalFaultTail = 22 * time.Second
 
@@ -57,10 +65,12 @@
 		reason: "after the store's return from an older copy, processes that had started since the copy were listed by their predecessors' records"},
 	{name: "kill-all-idle", seed: 42, reason: "silent flows after a kill of all processes", change: finalFault("kill")},
 	{name: "power-idle", seed: 43, reason: "new flows after a loss of power", change: finalFault("power")},
+	{name: "reused-ports", seed: 1, change: reusedPorts,
+		reason: "18.5 s after a kill of all processes, entries reset open flows whose ports had flows in the agents' saved lists"},
 }
 
 // soakSlots are the slots of the cases. Tests of package soak use those between.
-var soakSlots = []int{39, 38, 37, 36, 35, 34, 33, 32, 21, 20}
+var soakSlots = []int{39, 38, 37, 36, 35, 34, 33, 32, 21, 20, 22}
 
 // TestSoak fails if a run of the soak finds a violation.
 func TestSoak(t *testing.T) {
