deliv: what a saved list names is a guess until the server confirms it

Callers saw resets of open flows 18 s after a restart of agents: a client had used a port again, and the agent's saved list had the number of the port's earlier flow.

Cause: flows of a saved list were put into the table as open ones, with a wider window for their numbers.

Now they have a phase of their own, unconfirmed: each packet goes to the server, which returns it if it isn't of its flows; the verdict is Opening on the wire, so that entries probe the server first, without waiting for a slot; the server's first packet that only a holder sends confirms the flow and is claimed. A pure ACK that may answer a FIN, and a SYN+ACK, confirm nothing. A bounce denies, an RST isn't passed on, the server's end or restart removes the flow without a reset, and a client's late RST no longer ends a flow that is undecided. The list no longer replaces what the agent knows of the entry that probed.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -391,8 +391,8 @@
 	a.compensatePause(now)
 	a.flows.Sweep(now, maxSweptFlows, func(k flow.Key, f *flowState) {
 		a.counters.Add("flow_expired", 1)
-		if f.restored {
-			a.opts.FlowLog.Info("restored flow expired unconfirmed", a.flowFields(k, f, now)...)
+		if f.phase == phaseUnconfirmed {
+			a.opts.FlowLog.Info("flow expired unconfirmed", a.flowFields(k, f, now)...)
 		}
 		a.closeFlow(k, f)
 	})
--- a/internal/deliv/deliv_test.go
+++ b/internal/deliv/deliv_test.go
@@ -485,6 +485,8 @@
 	successor.store.list = env.store.list
 	successor.receiveHeartbeat(func(a *server.Heartbeat) { a.Sequence = 30 })
 	successor.agent.loadFlowList(context.Background())
+	successor.Equal(successor.verdict(), seek.Opening) // The flow may have ended since.
+	successor.receiveFromServer(6, flow.Header{Ack: true, Seq: 50, Len: 50})
 	successor.Equal(successor.verdict(), seek.Held)
 
 	restarted := newTestEnv(t, false)
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -32,6 +32,9 @@
 	phaseOpening flowPhase = iota
 	// phaseProbing: the agent doesn't know whether the server holds the flow and has sent it a packet to find out.
 	phaseProbing
+	// phaseUnconfirmed: there is a sign that the server holds the flow, such as an entry of a saved list, but it has sent no packet that shows
+	// it since. Addresses and ports may be those of a later flow, at this or another server. The server decides on each packet.
+	phaseUnconfirmed
 	// phaseOpen: the server holds the flow.
 	phaseOpen
 	// phaseClosed: the flow has ended. Late packets still go to the server, which responds to them.
@@ -45,6 +48,8 @@
 		return "opening"
 	case phaseProbing:
 		return "probing"
+	case phaseUnconfirmed:
+		return "unconfirmed"
 	case phaseOpen:
 		return "open"
 	default:
@@ -71,8 +76,6 @@
 	// firstSeen is when the agent first saw the flow; saved means that the last saved list contains it.
 	firstSeen time.Time
 	saved     bool
-	// restored means that the flow is known from a saved list, and the server has sent no packet of it since.
-	restored bool
 	// serverNextSeq is the sequence number after the server's last byte, which the client will acknowledge. While the flow is
 	// opening, it is that of the server's SYN+ACK, once synAckSeen is set.
 	serverNextSeq uint32
@@ -84,7 +87,7 @@
 	chosen bool
 	// wasOpen means that the server may have held the flow before it was closed.
 	wasOpen bool
-	// serverSeqKnown means that serverNextSeq has been set, by a packet of the server or by a saved list.
+	// serverSeqKnown means that serverNextSeq has been set by a packet of the server.
 	serverSeqKnown bool
 	// clientNextSeq is the sequence number after the client's last byte.
 	clientNextSeq  uint32
@@ -159,13 +162,9 @@
 	f.chosen = f.chosen || f.handshakeWith(h) == choseServer
 }
 
-const (
-	// maxAckDistance is how far a client's acknowledgement may be from serverNextSeq. Packets of the flow may be late, by much more than
-	// maxUnackedBytes.
-	maxAckDistance = 1 << 24
-	// maxRestoredAckDistance applies to flows of a saved list: the server may have sent any number of bytes since it was saved.
-	maxRestoredAckDistance = 1 << 28
-)
+// maxAckDistance is how far a client's acknowledgement may be from serverNextSeq. Packets of the flow may be late, by much more than
+// maxUnackedBytes.
+const maxAckDistance = 1 << 24
 
 // isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of a
 // flow that isn't opening, it may be either, and must not reach a server that may get no new flows for the given reason.
@@ -193,28 +192,22 @@
 
 // isFarFrom reports whether a sequence number is certainly not one of the server's bytes on this flow.
 func (f *flowState) isFarFrom(seq uint32) bool {
-	limit := uint32(maxAckDistance)
-	if f.restored {
-		limit = maxRestoredAckDistance
-	}
-	return f.serverSeqKnown && seq-f.serverNextSeq+limit > 2*limit
-}
-
-// isReplacedBy reports whether a packet of the server is the SYN+ACK of another flow with the same key, whose SYN the agent took for a copy
-// of this flow's. Only a flow of a saved list may have ended without a sign.
-func (f *flowState) isReplacedBy(h flow.Header) bool {
-	return h.Syn && f.restored && f.phase == phaseOpen && f.isFarFrom(h.Seq)
+	return f.serverSeqKnown && seq-f.serverNextSeq+maxAckDistance > 2*maxAckDistance
 }
 
 // awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
 func (f *flowState) awaitsServer() bool {
-	return f.phase == phaseProbing || f.phase == phaseOpening && !f.synAckSeen
+	return f.isUndecided() || f.phase == phaseOpening && !f.synAckSeen
 }
 
+// isUndecided reports whether nothing that the agent has seen since its start shows whether the server holds the flow. No packet is then kept
+// from the server, and no client reset.
+func (f *flowState) isUndecided() bool { return f.phase == phaseProbing || f.phase == phaseUnconfirmed }
+
 // isHeld reports whether the server holds the flow or held it until its end, by what the agent has seen since its start.
 func (f *flowState) isHeld() bool {
 	switch {
-	case f == nil || f.restored:
+	case f == nil:
 		return false
 	case f.phase == phaseClosed:
 		return f.wasOpen
@@ -225,15 +218,17 @@
 // mayHaveEnded reports whether a packet of the server may be the reply to a FIN on a flow that has ended, so that it doesn't show that the
 // server holds the flow. If the agent has seen no packet of the client, the reply may be to one that an earlier process sent on.
 func (f *flowState) mayHaveEnded(h flow.Header) bool {
-	if h.Syn || h.Fin || h.Len > 0 || !f.awaitsServer() && !f.restored {
+	if h.Syn || h.Fin || h.Len > 0 || !f.awaitsServer() {
 		return false
 	}
 	return f.clientFin || !f.entry.IsValid()
 }
 
-// isConfirmedBy reports whether a packet of the server shows an entry that this is the flow's server. While entries probe, a
+// isConfirmedBy reports whether a packet of the server shows an entry that this is the flow's server. While entries probe or search, a
 // SYN+ACK doesn't: servers that the client didn't choose send it, too.
-func (f *flowState) isConfirmedBy(h flow.Header) bool { return !h.Rst && !(h.Syn && f.probed) }
+func (f *flowState) isConfirmedBy(h flow.Header) bool {
+	return !h.Rst && !(h.Syn && (f.probed || f.isUndecided()))
+}
 
 // closeFlow cancels a pending request of a flow and marks the flow as closed. It stays in the table.
 func (a *Agent) closeFlow(key flow.Key, f *flowState) {
@@ -261,7 +256,7 @@
 		f.clientFin = true
 	}
 	if h.Rst {
-		a.closeFlow(key, f)
+		a.handleClientReset(key, f)
 		return true
 	}
 	if h.Len == 0 && !(h.Fin && f.requestQueued) {
@@ -292,6 +287,14 @@
 	return false
 }
 
+// handleClientReset closes a flow that its client has reset. On one that the server hasn't confirmed the RST may be a late one of an earlier
+// flow with the same key.
+func (a *Agent) handleClientReset(key flow.Key, f *flowState) {
+	if !f.isUndecided() {
+		a.closeFlow(key, f)
+	}
+}
+
 // startRequest marks a request as sent to the server without waiting for a free slot.
 func (a *Agent) startRequest(key flow.Key, f *flowState, now time.Time) {
 	a.queue.Remove(key)
@@ -467,20 +470,20 @@
 }
 
 // resetFlows resets the open flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
-// one would be lost, and would fail if it must not be repeated. Opening flows are removed only: they may be open at another
-// server, which took a copy of the SYN.
+// one would be lost, and would fail if it must not be repeated. Opening and unconfirmed flows are removed only: they may be open at another
+// server, which took a copy of the SYN, or to which the client has opened a later flow.
 func (a *Agent) resetFlows(lost func(*flowState) bool, reason string) {
-	var keys, opening []flow.Key
+	var keys, unheld []flow.Key
 	a.flows.Each(func(k flow.Key, f *flowState) {
 		switch {
 		case !lost(f):
 		case f.phase == phaseOpen:
 			keys = append(keys, k)
-		case f.phase == phaseOpening:
-			opening = append(opening, k)
+		case f.phase == phaseOpening || f.phase == phaseUnconfirmed:
+			unheld = append(unheld, k)
 		}
 	})
-	for _, k := range opening {
+	for _, k := range unheld {
 		a.removeFlow(k)
 		a.denied.Put(k, struct{}{}, time.Now())
 	}
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -234,7 +234,7 @@
 	a.flows.Each(func(k flow.Key, f *flowState) {
 		switch {
 		case f.serverRestarts != a.server.Restarts() || (!final && now.Sub(f.firstSeen) < minSaveAge):
-		case f.phase == phaseOpen:
+		case f.phase == phaseOpen || f.phase == phaseUnconfirmed:
 			s.Keys = k.Append(s.Keys)
 			s.NextSeqs = append(s.NextSeqs, f.serverNextSeq)
 			listed = append(listed, f)
@@ -349,19 +349,19 @@
 	return true
 }
 
-// restoreFlows adds flows of a saved list to the table as open flows, unless the server is known not to hold them.
+// restoreFlows adds flows of a saved list to the table, unless packets of them have shown more since. A list proves nothing: its flows may have
+// ended, and their keys be those of later ones.
 func (a *Agent) restoreFlows(keys []flow.Key, nextSeqs []uint32, service uint64, now time.Time) {
 	for i, k := range keys {
-		if f := a.flows.Peek(k); a.denied.Peek(k) == nil && (f == nil || f.phase == phaseProbing) {
-			if f != nil {
-				a.removeFlow(k)
-			}
-			f = a.flows.Put(k, flowState{
-				serverRestarts: a.server.Restarts(), service: service, firstSeen: now, responseSeen: true, saved: true,
-				serverNextSeq: nextSeqs[i], serverSeqKnown: true, restored: true,
-			}, now)
-			a.setPhase(f, phaseOpen)
+		f := a.flows.Peek(k)
+		if a.denied.Peek(k) != nil || f != nil && f.phase != phaseProbing {
+			continue
+		}
+		if f == nil {
+			f = a.flows.Put(k, flowState{serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true}, now)
 		}
+		f.phase, f.service, f.serverNextSeq, f.saved, f.claimPending = phaseUnconfirmed, service, nextSeqs[i], true, true
+		a.countOpenFlow(f)
 	}
 }
 
@@ -369,9 +369,7 @@
 func (a *Agent) restoreOpeningFlows(keys []flow.Key, service uint64, now time.Time) {
 	for _, k := range keys {
 		if a.flows.Peek(k) == nil && a.denied.Peek(k) == nil {
-			f := a.flows.Put(k, flowState{
-				phase: phaseOpening, serverRestarts: a.server.Restarts(), service: service, firstSeen: now, restored: true,
-			}, now)
+			f := a.flows.Put(k, flowState{phase: phaseOpening, serverRestarts: a.server.Restarts(), service: service, firstSeen: now}, now)
 			a.countOpenFlow(f)
 		}
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -105,8 +105,8 @@
 		return seek.Perhaps
 	case f.serverRestarts != a.server.Restarts():
 		return seek.Denied
-	case f.phase == phaseOpening:
-		return seek.Opening
+	case f.phase == phaseOpening || f.phase == phaseUnconfirmed:
+		return seek.Opening // The server may well hold the flow: entries probe it first.
 	case f.phase == phaseClosed && !(f.wasOpen && a.flows.UsedSince(key, now.Add(-closedFlowTTL))):
 		return seek.Denied
 	}
@@ -265,8 +265,7 @@
 // flowFields returns the log fields that describe the state of a flow and of its server.
 func (a *Agent) flowFields(key flow.Key, f *flowState, now time.Time) []zap.Field {
 	fields := []zap.Field{
-		zap.Stringer("flow", key), zap.Stringer("phase", f.phase), zap.Duration("age", now.Sub(f.firstSeen)), zap.Bool("restored", f.restored),
-		zap.Bool("syn_ack", f.synAckSeen), zap.Stringer("by", f.entry), zap.Int("restarts", a.server.Restarts()-f.serverRestarts),
+		zap.Stringer("flow", key), zap.Stringer("phase", f.phase), zap.Duration("age", now.Sub(f.firstSeen)), zap.Bool("syn_ack", f.synAckSeen), zap.Stringer("by", f.entry), zap.Int("restarts", a.server.Restarts()-f.serverRestarts),
 		zap.Bool("table_complete", a.tableComplete(now)),
 	}
 	heartbeat, packet := a.server.Silence(now)
@@ -381,22 +380,17 @@
 	if f.mayHaveEnded(h) {
 		return
 	}
-	if f.isReplacedBy(h) {
-		entry, serviceID := f.entry, f.service
-		a.removeFlow(key)
-		f = a.flows.Put(key, flowState{serverRestarts: a.server.Restarts(), entry: entry, service: serviceID, firstSeen: now}, now)
-	}
-	f.restored = false
 	if h.Syn && f.phase == phaseOpening {
 		f.synAckSeen = true
 		a.server.RecordOpenAccepted()
 		a.countOpenFlow(f)
 	}
-	if !h.Syn && (f.phase == phaseOpening || f.phase == phaseProbing) {
+	confirms := f.isConfirmedBy(h)
+	if !h.Syn && (f.phase == phaseOpening || f.isUndecided()) {
 		f.serverRestarts = a.server.Restarts()
 		a.setPhase(f, phaseOpen)
 	}
-	if f.claimPending && f.isConfirmedBy(h) {
+	if f.claimPending && confirms {
 		a.sendClaim(key, f, h, now)
 	}
 	a.handleServerData(key, f, h, now)
@@ -431,8 +425,7 @@
 	if prev.phase == phaseClosed {
 		return // Both ends have closed the flow; a late packet needs no reply.
 	}
-	// A flow of a saved list may have ended while no agent ran, and its key be that of a flow at another server.
-	if prev.phase == phaseOpen && !prev.restored {
+	if prev.phase == phaseOpen {
 		a.resetLostFlow(key, h, "backend server doesn't hold it any more")
 		return
 	}
@@ -447,7 +440,7 @@
 func (a *Agent) handleBouncedOpen(key flow.Key, f *flowState, b []byte, now time.Time) {
 	a.server.RecordOpenRefused(now)
 	a.updateReadiness(now)
-	if f.phase == phaseOpen || f.isHeld() {
+	if f.phase == phaseOpen || f.phase == phaseUnconfirmed || f.isHeld() {
 		return
 	}
 	header := encap.Header{Kind: encap.Open, Hops: f.hops, Service: f.service, Fallback: f.fallback, Entry: f.entry}
