deliv: tell a later flow with the same key by the numbers of both ends

The agent now compares both ends' numbers (flow.Numbers), within 76,800. All numbers come from the server's packets, which name both ends, or from the SYN, so that a late packet of a client can't change them. Since a packet of another flow no longer reaches the server of an ended one, the server's RST on it answers only the flow's own client.

The same numbers tell what the server's packets are of: - A packet before the reply to a SYN that doesn't acknowledge that SYN answers an earlier flow: it neither opens the flow nor, as RST, ends it. - A bounced packet of an earlier flow doesn't deny one that is opening. - A pure ACK with other numbers leaves an open flow's alone, data shows which flow the server holds, and a SYN+ACK with other numbers makes an open flow unconfirmed.

TestPacketOfSameFlowReachesServer had the old window's bounds; it now has those of 76,800, for both ends and all phases.

--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -87,8 +87,9 @@
 	chosen bool
 	// wasOpen means that the server may have held the flow before it was closed.
 	wasOpen bool
-	// serverSeqKnown means that serverNextSeq has been set by a packet of the server.
-	serverSeqKnown bool
+	// numbers tell the packets of the flow from those of others with the same key: of the client's SYN, and of the server's packets once it
+	// holds the flow.
+	numbers flow.Numbers
 	// clientNextSeq is the sequence number after the client's last byte.
 	clientNextSeq  uint32
 	clientDataSeen bool
@@ -162,10 +163,6 @@
 	f.chosen = f.chosen || f.handshakeWith(h) == choseServer
 }
 
-// maxAckDistance is how far a client's acknowledgement may be from serverNextSeq. Packets of the flow may be late, by much more than
-// maxUnackedBytes.
-const maxAckDistance = 1 << 24
-
 // isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of a
 // flow that isn't opening, it may be either, and must not reach a server that may get no new flows for the given reason.
 func (f *flowState) isRepeatedBy(h flow.Header, reason server.Reason) bool {
@@ -178,21 +175,44 @@
 	return f.phase == phaseOpening || reason == server.ReasonNone
 }
 
-// isOtherFlow reports whether a client's packet h certainly belongs to another flow with the same key: it is another SYN than this flow's,
-// or acknowledges bytes that the server never sent on this one. Until the handshake is complete, handshakeWith decides on acknowledgements.
+// isOtherFlow reports whether a client's packet h belongs to another flow with the same key: it is another SYN than this flow's, or its
+// numbers are others. Until the handshake is complete, handshakeWith decides on acknowledgements.
 func (f *flowState) isOtherFlow(h flow.Header) bool {
 	if h.Opens() {
 		return f.synSeen && f.synSeq != h.Seq
 	}
-	if f.phase != phaseOpen && f.phase != phaseClosed {
-		return false
+	return !f.isUndecided() && f.numbers.Match(h) == flow.Other
+}
+
+// isReplyToEarlierFlow reports whether a packet of the server is a reply to a packet that it received before the SYN of an opening flow.
+func (f *flowState) isReplyToEarlierFlow(h flow.Header) bool {
+	return f.phase == phaseOpening && !f.synAckSeen && !h.Syn && f.numbers.MatchServer(h) == flow.Other
+}
+
+// recordNumbers records the numbers of both ends that a packet of the server has.
+func (f *flowState) recordNumbers(h flow.Header) {
+	switch {
+	case h.Syn && f.phase == phaseOpening:
+		f.serverNextSeq = h.Seq
+		return
+	case h.Syn || h.Rst || f.phase != phaseOpen: // Replies on a flow that has ended may have the numbers of another flow.
+		return
+	case f.numbers.MatchServer(h) == flow.Other:
+		if h.Len == 0 {
+			return // It may be a reply to a late packet of an earlier flow.
+		}
+		f.numbers = flow.Numbers{}
+	}
+	f.numbers.RecordServer(h.Seq + uint32(h.Len))
+	if h.Ack {
+		f.numbers.RecordClient(h.AckNumber)
 	}
-	return h.Ack && f.isFarFrom(h.AckNumber)
+	f.serverNextSeq, _ = f.numbers.Server()
 }
 
-// isFarFrom reports whether a sequence number is certainly not one of the server's bytes on this flow.
-func (f *flowState) isFarFrom(seq uint32) bool {
-	return f.serverSeqKnown && seq-f.serverNextSeq+maxAckDistance > 2*maxAckDistance
+// unconfirm lets the server decide on the flow's packets again, since it may hold another flow with the key.
+func (f *flowState) unconfirm() {
+	f.phase, f.numbers, f.claimPending = phaseUnconfirmed, flow.Numbers{}, true
 }
 
 // awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
@@ -394,9 +414,7 @@
 // handleServerData processes a packet of the server. The first bytes after a request are the start of the response and
 // free the request's slot.
 func (a *Agent) handleServerData(key flow.Key, f *flowState, h flow.Header, now time.Time) {
-	if !h.Rst && f.phase != phaseClosed { // Replies on a flow that has ended may have the numbers of another flow.
-		f.serverNextSeq, f.serverSeqKnown = h.Seq+uint32(h.Len), true
-	}
+	f.recordNumbers(h)
 	if h.Fin {
 		f.serverFin = true
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -149,11 +149,12 @@
 		a.opts.FlowLog.Info("new flow with the key of an open one", a.flowFields(key, f, now)...)
 	}
 	a.removeFlow(key)
-	a.flows.Put(key, flowState{
+	f := a.flows.Put(key, flowState{
 		phase: phaseOpening, serverRestarts: a.server.Restarts(), entry: header.Entry, service: header.Service,
 		fallback: header.Fallback, hops: header.Hops, claimPending: header.Hops > 0, firstSeen: now,
 		synSeq: h.Seq, synSeen: true,
 	}, now)
+	f.numbers.RecordClient(h.Seq + 1)
 	a.server.RecordOpen(now)
 	a.counters.Add("opened", 1)
 	a.sendToServer(b[encap.HeaderSize:])
@@ -349,6 +350,7 @@
 
 // handleUnheldReset processes an RST of the server on a flow, whose state is f or nil, that it isn't known to hold. A server at which
 // another flow with the key has ended answers data in this way. The RST isn't sent to the client, whose flow may be open at another server.
+// One that comes before the reply to a SYN isn't of the new flow.
 func (a *Agent) handleUnheldReset(key flow.Key, f *flowState, now time.Time) {
 	a.counters.Add("unheld_reset", 1)
 	fields := []zap.Field{zap.Stringer("flow", key)}
@@ -356,6 +358,9 @@
 		fields = a.flowFields(key, f, now)
 	}
 	a.opts.FlowLog.Info("reset by a server that isn't known to hold the flow", fields...)
+	if f != nil && f.synSeen && !f.synAckSeen {
+		return
+	}
 	a.denied.Put(key, struct{}{}, now)
 	if f == nil {
 		return
@@ -377,16 +382,14 @@
 			phase: phaseProbing, serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true,
 		}, now)
 	}
-	if f.mayHaveEnded(h) {
+	if f.mayHaveEnded(h) || f.isReplyToEarlierFlow(h) {
 		return
 	}
-	if h.Syn && f.phase == phaseOpening {
-		f.synAckSeen = true
-		a.server.RecordOpenAccepted()
-		a.countOpenFlow(f)
-	}
 	confirms := f.isConfirmedBy(h)
-	if !h.Syn && (f.phase == phaseOpening || f.isUndecided()) {
+	switch {
+	case h.Syn:
+		a.handleSynAck(f, h)
+	case f.phase == phaseOpening || f.isUndecided():
 		f.serverRestarts = a.server.Restarts()
 		a.setPhase(f, phaseOpen)
 	}
@@ -396,6 +399,18 @@
 	a.handleServerData(key, f, h, now)
 }
 
+// handleSynAck processes the server's reply h to a SYN. On an open flow it shows that the server may hold another one with the key.
+func (a *Agent) handleSynAck(f *flowState, h flow.Header) {
+	switch {
+	case f.phase == phaseOpening:
+		f.synAckSeen = true
+		a.server.RecordOpenAccepted()
+		a.countOpenFlow(f)
+	case f.phase == phaseOpen && f.numbers.MatchServer(h) == flow.Other:
+		f.unconfirm()
+	}
+}
+
 // handleBounced processes a client's packet that the server bounced because it can't accept the new flow or doesn't hold the
 // flow.
 func (a *Agent) handleBounced(h flow.Header, b []byte, now time.Time) {
--- a/internal/deliv/reused_key_test.go
+++ b/internal/deliv/reused_key_test.go
@@ -130,29 +130,36 @@
 // A packet of the flow itself must not be taken for one of another flow: numbers wrap around, acknowledgements may be late, and what a saved
 // list tells may be of an earlier flow.
 func TestPacketOfSameFlowReachesServer(t *testing.T) {
+	const late = 60_000 // Both ends have at most 16 packets of 1,200 bytes in flight.
 	for _, c := range []struct {
-		server, client    uint32
-		unconfirmed, same bool
+		server, client flow.Header
+		phase          flowPhase
+		same           bool
 	}{
-		{server: 0, client: 1<<32 - maxUnackedBytes, same: true},
-		{server: 1<<32 - 1, client: 1, same: true},
-		{server: 1 << 31, client: 1<<31 - 1<<20, same: true},
-		{server: 1 << 31, client: 1<<31 + maxAckDistance + 1},
-		{server: 1 << 31, client: 1<<31 - maxAckDistance - 1},
-		{server: 1 << 31, client: 1<<31 + 100<<20, unconfirmed: true, same: true},
-		{server: 1 << 31, client: 1 << 30, unconfirmed: true, same: true},
+		{server: flow.Header{Ack: true}, client: flow.Header{Ack: true, AckNumber: 1<<32 - maxUnackedBytes}, same: true},
+		{server: flow.Header{Ack: true, Seq: 1<<32 - 1}, client: flow.Header{Ack: true, AckNumber: 1}, same: true},
+		{server: flow.Header{Ack: true, Seq: 1 << 31}, client: flow.Header{Ack: true, AckNumber: 1<<31 - late}, same: true},
+		{server: flow.Header{Ack: true, Seq: 1 << 31}, client: flow.Header{Ack: true, AckNumber: 1<<31 + 1<<17}},
+		{server: flow.Header{Ack: true, Seq: 1 << 31}, client: flow.Header{Ack: true, AckNumber: 1<<31 - 1<<17}},
+		{server: flow.Header{Ack: true, AckNumber: 1<<32 - 1}, client: flow.Header{Ack: true, Seq: maxUnackedBytes}, same: true},
+		{server: flow.Header{Ack: true, AckNumber: 1 << 31}, client: flow.Header{Ack: true, Seq: 1<<31 - late}, same: true},
+		{server: flow.Header{Ack: true, AckNumber: 1 << 31}, client: flow.Header{Ack: true, Seq: 1<<31 - 1<<17}},
+		{server: flow.Header{Ack: true, Seq: 1 << 31}, client: flow.Header{Ack: true, AckNumber: 1 << 30}, phase: phaseUnconfirmed, same: true},
+		{server: flow.Header{Ack: true, Seq: 1 << 31}, client: flow.Header{Ack: true, AckNumber: 1 << 30}, phase: phaseProbing, same: true},
+		{server: flow.Header{Ack: true, Seq: 1 << 31}, client: flow.Header{Ack: true, AckNumber: 1 << 30}, phase: phaseClosed},
 	} {
-		f := flowState{phase: phaseOpen, serverNextSeq: c.server, serverSeqKnown: true}
-		if c.unconfirmed {
-			f.phase = phaseUnconfirmed
+		f := flowState{phase: phaseOpen}
+		f.recordNumbers(c.server)
+		if c.phase != 0 {
+			f.phase = c.phase
 		}
-		if got := !f.isOtherFlow(flow.Header{Ack: true, AckNumber: c.client}); got != c.same {
+		if got := !f.isOtherFlow(c.client); got != c.same {
 			t.Errorf("%+v: same flow: %t", c, got)
 		}
 	}
 	unknown := flowState{phase: phaseOpen}
 	if unknown.isOtherFlow(flow.Header{Ack: true, AckNumber: 1 << 31}) {
-		t.Error("the server's numbers aren't known")
+		t.Error("no numbers are known")
 	}
 }
 
--- a/internal/flow/numbers.go
+++ b/internal/flow/numbers.go
@@ -56,6 +56,18 @@
 	return match
 }
 
+// MatchServer compares a packet of the backend server in the same way.
+func (n *Numbers) MatchServer(h Header) Match {
+	match := Unknown
+	if n.serverKnown {
+		match = compare(h.Seq, n.server)
+	}
+	if match != Other && n.clientKnown && h.Ack {
+		match = compare(h.AckNumber, n.client)
+	}
+	return match
+}
+
 // compare returns Same if two numbers are near each other, Other if not.
 func compare(a, b uint32) Match {
 	if a-b+maxDistance > 2*maxDistance {
--- a/internal/flow/numbers_test.go
+++ b/internal/flow/numbers_test.go
@@ -36,6 +36,30 @@
 	}
 }
 
+// A server's reply on an earlier flow has numbers of that one.
+func TestNumbersTellPacketsOfTheServerApart(t *testing.T) {
+	var n Numbers
+	is.New(t).Equal(n.MatchServer(packet(1, 2)), Unknown)
+	n.RecordClient(1000)
+	is.New(t).Equal(n.MatchServer(packet(1<<30, 1000)), Same)
+	is.New(t).Equal(n.MatchServer(packet(1<<30, 1<<30)), Other)
+	n.RecordServer(0xffff_ff00)
+	for _, c := range []struct {
+		name string
+		h    Header
+		want Match
+	}{
+		{"next packet", packet(0xffff_ff00, 1000), Same},
+		{"without acknowledgement", Header{Seq: 0xffff_ff00}, Same},
+		{"server's number of another flow", packet(0xffff_ff00-1<<24, 1000), Other},
+		{"client's number of another flow", packet(0xffff_ff00, 1000+1<<24), Other},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(n.MatchServer(c.h), c.want)
+		})
+	}
+}
+
 func TestLateNumbersAreIgnored(t *testing.T) {
 	is := is.New(t)
 	var n Numbers
