--- /dev/null
+++ b/internal/deliv/evidence.go
@@ -0,0 +1,126 @@
+package deliv
+
+import (
+	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/server"
+)
+
+// maxUnackedBytes is the most that a server sends ahead of the client's acknowledgements: 16 packets of 1,200 bytes.
+const maxUnackedBytes = 16 * 1200
+
+// handshake is what a client's packet shows of a flow whose handshake isn't complete at the server.
+type handshake uint8
+
+const (
+	// undecided: the packet or the agent's knowledge doesn't show which server the client has chosen.
+	undecided handshake = iota
+	// choseServer: the packet acknowledges the sequence number of this server's SYN+ACK.
+	choseServer
+	// choseAnother: the packet acknowledges another one.
+	choseAnother
+)
+
+// handshakeWith determines by the acknowledgement of a client's packet whether the client has chosen this agent's server, one
+// of those that responded to a copy of its SYN.
+func (f *flowState) handshakeWith(h flow.Header) handshake {
+	switch {
+	case f.phase != phaseOpening || !f.synAckSeen || !h.Ack:
+		return undecided
+	case h.AckNumber-f.serverNextSeq <= maxUnackedBytes:
+		return choseServer
+	default:
+		return choseAnother
+	}
+}
+
+// recordChoice records whether a client's packet shows that the client has chosen this agent's server.
+func (f *flowState) recordChoice(h flow.Header) {
+	f.chosen = f.chosen || f.handshakeWith(h) == choseServer
+}
+
+// isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of a
+// flow that isn't opening, it may be either, and must not reach a server that may get no new flows for the given reason.
+func (f *flowState) isRepeatedBy(h flow.Header, reason server.Reason) bool {
+	switch {
+	case f.phase == phaseClosed:
+		return false
+	case f.synSeen:
+		return f.synSeq == h.Seq
+	}
+	return f.phase == phaseOpening || reason == server.ReasonNone
+}
+
+// isOtherFlow reports whether a client's packet h belongs to another flow with the same key: it is another SYN than this flow's, or its
+// numbers are others. Until the handshake is complete, handshakeWith decides on acknowledgements.
+func (f *flowState) isOtherFlow(h flow.Header) bool {
+	if h.Opens() {
+		return f.synSeen && f.synSeq != h.Seq
+	}
+	return !f.isUndecided() && f.numbers.Match(h) == flow.Other
+}
+
+// isReplyToEarlierFlow reports whether a packet of the server is a reply to a packet that it received before the SYN of an opening flow.
+func (f *flowState) isReplyToEarlierFlow(h flow.Header) bool {
+	return f.phase == phaseOpening && !f.synAckSeen && !h.Syn && f.numbers.MatchServer(h) == flow.Other
+}
+
+// recordNumbers records the numbers of both ends that a packet of the server has.
+func (f *flowState) recordNumbers(h flow.Header) {
+	switch {
+	case h.Syn && f.phase == phaseOpening:
+		f.serverNextSeq = h.Seq
+		return
+	case h.Syn || h.Rst || f.phase != phaseOpen: // Replies on a flow that has ended may have the numbers of another flow.
+		return
+	case f.numbers.MatchServer(h) == flow.Other:
+		if h.Len == 0 {
+			return // It may be a reply to a late packet of an earlier flow.
+		}
+		f.numbers = flow.Numbers{}
+	}
+	f.numbers.RecordServer(h.Seq + uint32(h.Len))
+	if h.Ack {
+		f.numbers.RecordClient(h.AckNumber)
+	}
+	f.serverNextSeq, _ = f.numbers.Server()
+}
+
+// unconfirm lets the server decide on the flow's packets again, since it may hold another flow with the key.
+func (f *flowState) unconfirm() {
+	f.phase, f.numbers, f.claimPending = phaseUnconfirmed, flow.Numbers{}, true
+}
+
+// awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
+func (f *flowState) awaitsServer() bool {
+	return f.isUndecided() || f.phase == phaseOpening && !f.synAckSeen
+}
+
+// isUndecided reports whether nothing that the agent has seen since its start shows whether the server holds the flow. No packet is then kept
+// from the server, and no client reset.
+func (f *flowState) isUndecided() bool { return f.phase == phaseProbing || f.phase == phaseUnconfirmed }
+
+// isHeld reports whether the server holds the flow or held it until its end, by what the agent has seen since its start.
+func (f *flowState) isHeld() bool {
+	switch {
+	case f == nil:
+		return false
+	case f.phase == phaseClosed:
+		return f.wasOpen
+	}
+	return f.phase == phaseOpen || f.phase == phaseOpening && f.chosen
+}
+
+// mayHaveEnded reports whether a packet of the server may be the reply to a FIN on a flow that has ended, so that it doesn't show that the
+// server holds the flow. If the agent has seen no packet of the client, the reply may be to one that an earlier process sent on.
+func (f *flowState) mayHaveEnded(h flow.Header) bool {
+	if h.Syn || h.Fin || h.Len > 0 || !f.awaitsServer() {
+		return false
+	}
+	return f.clientFin || !f.entry.IsValid()
+}
+
+// isConfirmedBy reports whether a packet of the server shows an entry that this is the flow's server. While entries probe or search, a
+// SYN+ACK doesn't: servers that the client didn't choose send it, too.
+func (f *flowState) isConfirmedBy(h flow.Header) bool {
+	return !h.Rst && !(h.Syn && (f.probed || f.isUndecided()))
+}
