deliv: a saved list of an earlier start of the server resets nothing

Cause: a list that is seconds old, or older, counted as knowledge of what clients have open now. Flows of the list are no longer reset, nor denied: the server may hold a later flow with the key.

What is lost by that: a caller whose request the server had acknowledged before the loss of power, and that sends nothing while it waits, learns of it at its deadline; an idle caller, with its next request, which an entry resets once all agents have denied the flow. Callers that still retransmit learn with their next packet.

--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -313,7 +313,8 @@
 	}
 }
 
-// tryRestore restores the flows of a list, or resets them if another start of the server than the list's is certainly running. It
+// tryRestore restores the flows of a list, unless another start of the server than the list's is certainly running. Clients of the flows are
+// then told once they send a packet: the list may name flows that have ended, and their keys be those of flows at other servers. tryRestore
 // returns false as long as neither is known.
 func (a *Agent) tryRestore(s savedFlowList) bool {
 	now := time.Now()
@@ -331,15 +332,8 @@
 	}
 	a.savedFlows = len(keys)
 	if !sameStart {
-		a.opts.Log.Info("flows of an earlier start of the server are lost", zap.Int("flows", len(keys)), zap.String("id", hb.ID),
+		a.opts.Log.Info("saved list is of an earlier start of the server", zap.Int("flows", len(keys)), zap.String("id", hb.ID),
 			zap.String("saved", s.ServerID))
-		for i, k := range keys {
-			if a.flows.Peek(k) == nil {
-				a.opts.FlowLog.Warn("flow is lost", zap.Stringer("flow", k), zap.Bool("restored", true),
-					zap.String("reason", "saved list is of an earlier start of the server"), zap.Bool("reset", true))
-				a.resetFlow(k, s.NextSeqs[i])
-			}
-		}
 		return true
 	}
 	a.restoreFlows(keys, s.NextSeqs, route.ServiceID(hb.Service), now)
