deliv: don't deny a flow while its client may still send copies of its packet

Callers saw resets of open flows about 18 s after a restart of all processes: a table counted as complete as soon as the idle timeout and 3 s had passed since the agent's start, and then denied what it lacked. A client whose first packet came shortly before sends copies until its deadline. As long as none gets through to the agent (searches are dropped while another agent is silent, probes left out on a full link, and a list request names no flow, so that `asked` doesn't have it), the agent has never seen the flow, and denied it at that moment. A flow in the table was removed and denied in the same way.

Flows now stay in the table, and the table is incomplete, for the idle timeout, the longest timeout of a route, and the margin. By then a client whose flow was idle for less than the idle timeout has given up. A table that is complete by its server's start stays as it was.

The cost: lost flows of servers that started before their agent are denied later, by the longest timeout of a route.

The tests failed before:

--- FAIL: TestFlowIsNotDeniedWhileItsClientMayRetransmit complete_test.go:92: 13s after the start: denied complete_test.go:112: denied != held --- FAIL: TestIdleFlowStaysInTableWhileItsClientMayRetransmit

--- a/internal/deliv/complete_test.go
+++ b/internal/deliv/complete_test.go
@@ -4,7 +4,9 @@
 	"testing"
 	"time"
 
+	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 )
@@ -55,3 +57,58 @@
 	env.agent.tableCompleteAt = env.agent.tableCompleteAt.Add(-defaultIdleTimeout)
 	env.Equal(env.verdict(), seek.Perhaps)
 }
+
+// Guards against the reset of an open flow at the moment when the idle timeout has passed since the agent's start: its client sent its first
+// packet shortly before and sends copies until its deadline, but none has got here, since entries search by lists alone as long as another
+// agent's reply is missing, or their links are full.
+func TestFlowIsNotDeniedWhileItsClientMayRetransmit(t *testing.T) {
+	env := newTestEnv(t, false)
+	env.receiveHeartbeat(nil)
+	env.agent.Configure(env.cluster.table)
+	exhaustiveList := func(now time.Time) bool {
+		env.agent.mu.Lock()
+		env.agent.sendFlowList(ptest.Addr(env.entry), encap.ListPart{RequestID: 9}.Append(nil), now)
+		env.agent.mu.Unlock()
+		header, _, err := encap.Parse(env.read(env.entry))
+		env.NoErr(err)
+		return header.Hops == encap.Exhaustive
+	}
+	env.agent.mu.Lock()
+	idleAt := env.agent.startedAt.Add(env.cluster.table.Idle)
+	env.agent.mu.Unlock()
+	deadline := idleAt.Add(env.cluster.table.Routes[0].Timeout)
+	for _, c := range []struct {
+		at   time.Time
+		want seek.Verdict
+	}{
+		{idleAt.Add(idleMargin), seek.Perhaps},
+		{deadline, seek.Perhaps},
+		{deadline.Add(idleMargin), seek.Denied},
+	} {
+		env.agent.mu.Lock()
+		got := env.agent.verdict(flow.NewKey(client, service), c.at)
+		env.agent.mu.Unlock()
+		if got != c.want || exhaustiveList(c.at) != (c.want == seek.Denied) {
+			t.Errorf("%s after the start: %s", c.at.Sub(env.agent.startedAt), got)
+		}
+	}
+}
+
+// Guards against the same for a flow that the agent knows: it left the table once it was idle, while its client's packets didn't get here.
+func TestIdleFlowStaysInTableWhileItsClientMayRetransmit(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.agent.Configure(env.cluster.table)
+	env.openFlow()
+	env.receiveFromServer(4, flow.Header{Ack: true, Len: 50})
+	for _, c := range []struct {
+		idleFor time.Duration
+		want    seek.Verdict
+	}{{env.cluster.table.Idle + env.cluster.table.Routes[0].Timeout, seek.Held}, {idleMargin + time.Second, seek.Denied}} {
+		env.agent.mu.Lock()
+		env.agent.flows.ExtendIdleTime(-c.idleFor)
+		env.agent.mu.Unlock()
+		env.agent.sweep()
+		env.Equal(env.verdict(), c.want)
+	}
+}
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -38,7 +38,7 @@
 	unknownIdleTimeout = 24 * time.Hour
 	// defaultIdleTimeout applies if no configuration has set the idle timeout of flows.
 	defaultIdleTimeout = 20 * time.Second
-	// idleMargin is added to the configured idle timeout before a flow is removed from the table.
+	// idleMargin is added to the configured idle timeout and the longest timeout of a route before a flow is removed from the table.
 	idleMargin = 3 * time.Second
 	// deniedTTL is how long the agent remembers that the server doesn't hold a flow. Clients give up earlier.
 	deniedTTL = 30 * time.Second
@@ -212,16 +212,17 @@
 	return mmsg.Serve(conn, encap.HeaderSize, func() { a.counters.Add("read_failed", 1) }, handle)
 }
 
-// Configure applies the idle timeout of a newer configuration.
+// Configure applies the idle timeout of a newer configuration. The client of a flow that was idle until then may send copies of its packet for
+// the timeout of its route, and none may get here before the last one: the flow stays in the table as long, and the table is incomplete.
 func (a *Agent) Configure(table *route.Table) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	idle := table.Idle + idleMargin
+	idle := table.Idle + table.LongestTimeout() + idleMargin
 	if table.Idle <= 0 {
 		if a.flows.IdleTimeout() != unknownIdleTimeout {
 			return
 		}
-		idle = defaultIdleTimeout
+		idle = defaultIdleTimeout + table.LongestTimeout()
 	}
 	a.flows.SetIdleTimeout(idle)
 	if completeAt := a.incompleteSince.Add(idle + a.pausedFor); time.Now().Before(a.tableCompleteAt) {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -77,6 +77,15 @@
 	return t.byAddress[address]
 }
 
+// LongestTimeout returns the longest time for which clients wait for a response.
+func (t *Table) LongestTimeout() time.Duration {
+	var longest time.Duration
+	for i := range t.Routes {
+		longest = max(longest, t.Routes[i].Timeout)
+	}
+	return longest
+}
+
 // HealthPath returns the path of a service's health check, or "" if there is none. The table may be nil.
 func (t *Table) HealthPath(service string) string {
 	if t == nil {
