deliv: a SYN begins a flow of its own, whatever is known of its key

What an agent knew of an earlier flow with the key was used for a later one that its server had just been sent a SYN of: - A denial counted for 30 s, also after the later flow had opened, as soon as the table no longer had that flow. - On a key that a saved list or a probe had brought into the table, the SYN was sent on but not recorded. An RST or a returned packet of the earlier flow then removed and denied both. - A flow that the server had confirmed after a restart of the agent took the later flow's SYN for a copy of its own, and the agent returned all packets of the later flow: it could not open. - If the server returned the SYN, it was dropped, since a list named the key.

A SYN that is sent to the server now ends a denial, as does a packet of the server, and is recorded on an undecided flow: what comes back before the reply to the SYN, or has other client's numbers than it, isn't of its flow; a different SYN begins a new flow; and a returned one is passed on, while the list's flow stays. If the agent hasn't seen the SYN of a confirmed flow and the numbers differ, the server decides again.

--- a/internal/deliv/evidence.go
+++ b/internal/deliv/evidence.go
@@ -1,6 +1,9 @@
 package deliv
 
 import (
+	"time"
+
+	"github.com/bergamotrun/bergamotrun/internal/encap"
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 	"github.com/bergamotrun/bergamotrun/internal/server"
 )
@@ -39,11 +42,13 @@
 }
 
 // isRepeatedBy reports whether a SYN h is a copy of the flow's SYN, so that the flow isn't a new one. If the agent hasn't seen the SYN of a
-// flow that isn't opening, it may be either, and must not reach a server that may get no new flows for the given reason.
+// flow that isn't opening, or the flow is undecided, it may be either, and must not reach a server that may get no new flows for the given reason.
 func (f *flowState) isRepeatedBy(h flow.Header, reason server.Reason) bool {
 	switch {
 	case f.phase == phaseClosed:
 		return false
+	case f.synSeen && f.isUndecided():
+		return f.synSeq == h.Seq && reason == server.ReasonNone
 	case f.synSeen:
 		return f.synSeq == h.Seq
 	}
@@ -59,6 +64,34 @@
 	return !f.isUndecided() && f.numbers.Match(h) == flow.Other
 }
 
+// recordSyn records a SYN h that the server is sent on a flow in the table. If the agent hasn't seen the flow's SYN, this may be a copy of it, or
+// that of a later flow: the server decides.
+func (f *flowState) recordSyn(header encap.Header, h flow.Header, now time.Time) {
+	if !f.entry.IsValid() || f.isUndecided() {
+		f.entry, f.fallback, f.hops = header.Entry, header.Fallback, header.Hops
+	}
+	if f.synSeen {
+		return
+	}
+	f.synSeq, f.synSeen, f.synAckSeen = h.Seq, true, false
+	if f.phase == phaseOpen && f.numbers.Match(flow.Header{Seq: h.Seq}) != flow.Same {
+		f.unconfirm()
+	}
+	if f.phase != phaseOpen {
+		f.numbers.RecordClient(h.Seq + 1)
+		f.firstSeen = now
+	}
+}
+
+// isBounceOfOther reports whether a packet h that the server returned belongs to another flow with the same key. On an undecided flow it is
+// compared with the SYN that the server was sent since.
+func (f *flowState) isBounceOfOther(h flow.Header) bool {
+	if h.Opens() {
+		return f.isOtherFlow(h)
+	}
+	return f.numbers.Match(h) == flow.Other
+}
+
 // isReplyToEarlierFlow reports whether a packet of the server is a reply to a packet that it received before the SYN of an opening flow.
 func (f *flowState) isReplyToEarlierFlow(h flow.Header) bool {
 	return f.phase == phaseOpening && !f.synAckSeen && !h.Syn && f.numbers.MatchServer(h) == flow.Other
@@ -88,6 +121,9 @@
 // unconfirm lets the server decide on the flow's packets again, since it may hold another flow with the key.
 func (f *flowState) unconfirm() {
 	f.phase, f.numbers, f.claimPending = phaseUnconfirmed, flow.Numbers{}, true
+	if f.synSeen {
+		f.numbers.RecordClient(f.synSeq + 1)
+	}
 }
 
 // awaitsServer reports whether only the server can tell whether it holds the flow: the agent hasn't seen the flow's handshake.
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -87,7 +87,7 @@
 	// wasOpen means that the server may have held the flow before it was closed.
 	wasOpen bool
 	// numbers tell the packets of the flow from those of others with the same key: of the client's SYN, and of the server's packets once it
-	// holds the flow.
+	// holds the flow. On an undecided flow they are those of a SYN that the server was sent since.
 	numbers flow.Numbers
 	// clientNextSeq is the sequence number after the client's last byte.
 	clientNextSeq  uint32
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -131,9 +131,8 @@
 	reason := a.refusalFor(header, h, now)
 	if f := a.flows.Peek(key); f != nil && f.serverRestarts == a.server.Restarts() && f.isRepeatedBy(h, reason) {
 		a.flows.Get(key, now)
-		if !f.entry.IsValid() { // The agent knows the flow from a saved list or from the server.
-			f.entry, f.fallback, f.hops = header.Entry, header.Fallback, header.Hops
-		}
+		f.recordSyn(header, h, now)
+		a.denied.Delete(key)
 		a.sendToServer(b[encap.HeaderSize:]) // A retransmission of the SYN.
 		return
 	}
@@ -155,6 +154,7 @@
 		synSeq: h.Seq, synSeen: true,
 	}, now)
 	f.numbers.RecordClient(h.Seq + 1)
+	a.denied.Delete(key) // It was of an earlier flow.
 	a.server.RecordOpen(now)
 	a.counters.Add("opened", 1)
 	a.sendToServer(b[encap.HeaderSize:])
--- a/internal/deliv/server_packet.go
+++ b/internal/deliv/server_packet.go
@@ -76,6 +76,7 @@
 		if h.Syn {
 			return
 		}
+		a.denied.Delete(key) // It was of an earlier flow.
 		f = a.flows.Put(key, flowState{
 			phase: phaseProbing, serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true,
 		}, now)
@@ -87,7 +88,10 @@
 	switch {
 	case h.Syn:
 		a.handleSynAck(f, h)
-	case f.phase == phaseOpening || f.isUndecided():
+	case f.isUndecided():
+		f.numbers = flow.Numbers{}
+		fallthrough
+	case f.phase == phaseOpening:
 		f.serverRestarts = a.server.Restarts()
 		a.setPhase(f, phaseOpen)
 	}
@@ -106,6 +110,9 @@
 		a.countOpenFlow(f)
 	case f.phase == phaseOpen && f.numbers.MatchServer(h) == flow.Other:
 		f.unconfirm()
+		f.synAckSeen = true
+	case f.isUndecided():
+		f.synAckSeen = true
 	}
 }
 
@@ -118,7 +125,7 @@
 		a.counters.Add("bounced_unknown", 1)
 		return
 	}
-	if f.isOtherFlow(h) {
+	if f.isBounceOfOther(h) {
 		a.logOtherFlow(key, f, h, now)
 		if f.entry.IsValid() {
 			a.returnToEntry(b, encap.Header{Service: f.service, Verdict: a.sameKeyVerdict(key, f, now)}, f.entry)
@@ -153,10 +160,14 @@
 func (a *Agent) handleBouncedOpen(key flow.Key, f *flowState, b []byte, now time.Time) {
 	a.server.RecordOpenRefused(now)
 	a.updateReadiness(now)
-	if f.phase == phaseOpen || f.phase == phaseUnconfirmed || f.isHeld() {
+	if f.phase == phaseOpen || f.isHeld() || f.isUndecided() && !f.synSeen {
 		return
 	}
 	header := encap.Header{Kind: encap.Open, Hops: f.hops, Service: f.service, Fallback: f.fallback, Entry: f.entry}
-	a.removeFlow(key)
+	if f.isUndecided() {
+		f.synSeen, f.numbers = false, flow.Numbers{} // The server may hold another flow with the key.
+	} else {
+		a.removeFlow(key)
+	}
 	a.passOnOrRefuse(key, header, b, string(server.ReasonOpensRefused))
 }
