deliv: a saved list loses its ended flows after 30 s at the latest

Once the list is 30 s old, any changed flow is enough now. Nothing that must be right rests on it.

The load on the store: at most one write in 30 s more for an agent whose flows hardly change; minSaveInterval is as before.

The test failed before:

ended_saved_test.go:95: not true: save --- FAIL: TestOldListWithoutEndedFlowsIsSaved

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -136,8 +136,9 @@
 	completeByStart bool
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
-	// savedFlows is the number of open flows in the saved list.
-	savedFlows int
+	// savedFlows is the number of open flows in the saved list, which was last encoded at listSavedAt.
+	savedFlows  int
+	listSavedAt time.Time
 	// stopping is set once the final list has been collected.
 	stopping bool
 	// lastRunAt is when the process last handled an event. Ticks are such events, so it is recent unless the process pauses.
--- a/internal/deliv/ended_saved_test.go
+++ b/internal/deliv/ended_saved_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -69,3 +70,33 @@
 
 // Save implements FlowListStore.
 func (failingStore) Save(context.Context, []byte) error { return context.DeadlineExceeded }
+
+// Guards against lists that name ended flows for any time: one in twenty flows isn't enough of a change to save the list at once, but is once
+// the list is old.
+func TestOldListWithoutEndedFlowsIsSaved(t *testing.T) {
+	env := newTestEnv(t, true)
+	env.receiveHeartbeat(nil)
+	env.agent.mu.Lock()
+	for i := range uint16(20) {
+		k := flow.NewKey(netip.AddrPortFrom(client.Addr(), 5000+i), service)
+		env.agent.setPhase(env.agent.flows.Put(k, flowState{firstSeen: time.Now().Add(-minSaveAge)}, time.Now()), phaseOpen)
+	}
+	env.agent.mu.Unlock()
+	_, save := env.agent.encodeFlowList(false)
+	env.True(save)
+	ended := flow.NewKey(netip.AddrPortFrom(client.Addr(), 5000), service)
+	env.agent.mu.Lock()
+	env.agent.closeFlow(ended, env.agent.flows.Peek(ended))
+	env.agent.mu.Unlock()
+	_, save = env.agent.encodeFlowList(false)
+	env.True(!save)
+	env.agent.listSavedAt = env.agent.listSavedAt.Add(-maxListAge)
+	list, save := env.agent.encodeFlowList(false)
+	env.True(save)
+	saved, err := parseFlowList(list)
+	env.NoErr(err)
+	env.Equal(len(saved.NextSeqs), 19)
+	env.agent.listSavedAt = env.agent.listSavedAt.Add(-maxListAge)
+	_, save = env.agent.encodeFlowList(false)
+	env.True(!save) // Nothing has changed.
+}
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -26,6 +26,8 @@
 	// minChangedFraction is the minimum number of flows that are missing in the last saved list or have ended since, as a fraction of the
 	// flows, for the next save.
 	minChangedFraction = 0.1
+	// maxListAge is the age of the saved list from which on any such flow is enough.
+	maxListAge = 30 * time.Second
 	// saveTimeout bounds the final save at shutdown.
 	saveTimeout = 300 * time.Millisecond
 	// closedFlowTTL is how long after its last packet a closed flow counts as held. Either end retransmits what is missing at least
@@ -200,7 +202,7 @@
 	return nil
 }
 
-// encodeFlowList returns the encoded list of flows and whether it must be saved: a periodic one if it differs enough from the last one,
+// encodeFlowList returns the encoded list of flows and whether it must be saved: a periodic one if it differs enough from the last one or that is old,
 // the final one always, since the store may have lost the last one. The final list includes flows younger than minSaveAge.
 func (a *Agent) encodeFlowList(final bool) ([]byte, bool) {
 	now := time.Now()
@@ -214,10 +216,11 @@
 	s := savedFlowList{ServerID: hb.ID, ServerStartedAt: hb.StartedAt.UnixNano()}
 	listed, unsaved := a.collectFlows(&s, final, now)
 	changed := unsaved + max(0, a.savedFlows-(len(listed)-unsaved))
-	if !final && (changed == 0 || float64(changed) < minChangedFraction*float64(len(listed))) {
+	few := float64(changed) < minChangedFraction*float64(len(listed)) && now.Sub(a.listSavedAt) < maxListAge
+	if !final && (changed == 0 || few) {
 		return nil, false
 	}
-	a.savedFlows = len(listed)
+	a.savedFlows, a.listSavedAt = len(listed), now
 	for _, f := range listed {
 		f.saved = true
 	}
