deliv: a server that stood still after its restart decides on its flows

After a restart of its server an agent reset the flows that it had first seen before the server's new start, as far as the number of its heartbeats tells when that was. A server that stands still sends few, so that it seemed to have started later than flows that it had opened since: they were reset while it held them.

Certainly lost are only the flows that were first seen before the last heartbeat of the earlier start, from before any of the new one. Between that and the start by the number of heartbeats the server decides: the flows become unconfirmed, and it returns the packets of those that it has lost.

--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -311,8 +311,8 @@
 		a.tableCompleteAt, a.completeByStart = now, true
 		a.asked = flow.NewTable[struct{}](askedTTL, maxFlows)
 	}
-	start := a.server.EarliestStart().Add(-a.pausedFor) // The heartbeat may have been queued during a pause.
-	a.keepFlowsSince(start)
+	// Heartbeats may have been queued during a pause.
+	a.keepFlowsSince(a.server.EarliestStart().Add(-a.pausedFor), a.server.PreviousStartReceivedAt().Add(-a.pausedFor))
 	a.resetFlows(func(f *flowState) bool { return f.serverRestarts != a.server.Restarts() }, "the server has started again")
 }
 
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -357,11 +357,16 @@
 }
 
 // keepFlowsSince assigns the flows that were first seen after start to the latest start of the server: it accepts flows before
-// its first heartbeat, while the agent takes it for the earlier start.
-func (a *Agent) keepFlowsSince(start time.Time) {
+// its first heartbeat, while the agent takes it for the earlier start. A server that stood still has begun before start, by the number of
+// its heartbeats, but not before earliest: it decides on the flows that were first seen between the two.
+func (a *Agent) keepFlowsSince(start, earliest time.Time) {
 	a.flows.Each(func(_ flow.Key, f *flowState) {
-		if f.firstSeen.After(start) {
-			f.serverRestarts = a.server.Restarts()
+		if !f.firstSeen.After(start) && !f.firstSeen.After(earliest) {
+			return
+		}
+		f.serverRestarts = a.server.Restarts()
+		if f.phase == phaseOpen && !f.firstSeen.After(start) {
+			f.unconfirm()
 		}
 	})
 }
--- a/internal/server/heartbeat.go
+++ b/internal/server/heartbeat.go
@@ -105,6 +105,9 @@
 func (s *Server) begin(hb Heartbeat, now time.Time) {
 	s.previous = Heartbeat{}
 	if s.known && !s.ended {
+		if !s.unsettled || s.previousReceivedAt.IsZero() {
+			s.previousReceivedAt = s.receivedAt
+		}
 		s.previous, s.otherStartSeen, s.otherStartSeenAt = s.last, true, s.lastHeartbeatAt
 		if s.left {
 			s.previous.Sequence = math.MaxUint64 // No heartbeat follows a shutdown notice.
@@ -182,7 +185,7 @@
 
 // store replaces the last heartbeat and clears the count of unanswered SYNs.
 func (s *Server) store(hb Heartbeat, now time.Time) {
-	s.last, s.known, s.lastHeartbeatAt, s.unansweredOpens = hb, true, now, 0
+	s.last, s.known, s.lastHeartbeatAt, s.receivedAt, s.unansweredOpens = hb, true, now, now, 0
 	s.coldUntil = now.Add(hb.ColdRemaining)
 }
 
@@ -225,6 +228,10 @@
 // on the server's clock. Pauses of the caller, in which heartbeats may have been queued, aren't included.
 func (s *Server) EarliestStart() time.Time { return s.earliestStart }
 
+// PreviousStartReceivedAt returns when the last heartbeat of the start before the current one came, before any of another start. It is zero if
+// there was no such start. The current start has begun later.
+func (s *Server) PreviousStartReceivedAt() time.Time { return s.previousReceivedAt }
+
 // Confirm records that the sender of a heartbeat was running when the heartbeat was processed.
 func (s *Server) Confirm(hb Heartbeat) {
 	if s.known && hb.sameStart(&s.last) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -73,10 +73,13 @@
 	// unsettled means that another start than the current one may be running. previous is the last heartbeat of the start before,
 	// zero if there was none. otherStartSeen means that heartbeats of another start have come, the last one at otherStartSeenAt, which
 	// is Options.ObservedSince otherwise.
-	unsettled        bool
-	previous         Heartbeat
-	otherStartSeen   bool
-	otherStartSeenAt time.Time
+	unsettled bool
+	previous  Heartbeat
+	// receivedAt is when the last heartbeat of the current start was recorded, previousReceivedAt when that of the start before was.
+	// CompensatePause doesn't change them.
+	receivedAt, previousReceivedAt time.Time
+	otherStartSeen                 bool
+	otherStartSeenAt               time.Time
 
 	lastPacketAt        time.Time
 	unansweredOpens     int
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -503,3 +503,22 @@
 	begin(s, "bb", 1, epoch.Add(11*interval))
 	is.Equal(s.StartedAfter(), epoch.Add(10*interval))
 }
+
+// A delayed heartbeat of the start before doesn't show that it still ran: flows that the current start has opened since aren't lost.
+func TestPreviousStartReceivedAtIgnoresDelayedHeartbeat(t *testing.T) {
+	is := is.New(t)
+	s := newServer()
+	is.True(s.PreviousStartReceivedAt().IsZero())
+	mustRecordHeartbeat(t, s, heartbeat(1), epoch)
+	mustRecordHeartbeat(t, s, heartbeat(2), epoch.Add(interval))
+	is.True(s.PreviousStartReceivedAt().IsZero())
+	restarted := heartbeat(1)
+	restarted.StartedAt = restarted.StartedAt.Add(time.Minute)
+	mustRecordHeartbeat(t, s, restarted, epoch.Add(3*interval))
+	is.Equal(s.PreviousStartReceivedAt(), epoch.Add(interval))
+	is.Equal(mustRecordHeartbeat(t, s, heartbeat(3), epoch.Add(4*interval)), ChangeStarted) // Delayed.
+	restarted.Sequence++
+	is.Equal(mustRecordHeartbeat(t, s, restarted, epoch.Add(5*interval)), ChangeStarted)
+	s.CompensatePause(interval)
+	is.Equal(s.PreviousStartReceivedAt(), epoch.Add(interval))
+}
