deliv: don't reset flows that have been idle for longer than the idle timeout

Found while looking for resets without a flow: an agent whose server ends resets all flows that the server held, also one that its client has long given up, without a sign, to use the port for a flow at another server. The reset meets that one. Flows are discarded after the idle timeout anyway, and stay in the table for longer since the timeout of routes counts (don't deny a flow while its client may still send copies of its packet). Such flows are now only removed. A port that comes back sooner is left (only suspected).

The test failed before:

complete_test.go:133: true != false --- FAIL: TestIdleFlowIsNotResetOnceItMayBeDiscarded

--- a/internal/deliv/complete_test.go
+++ b/internal/deliv/complete_test.go
@@ -112,3 +112,25 @@
 		env.Equal(env.verdict(), c.want)
 	}
 }
+
+// Guards against the reset of a flow that is open at another server: the client has given up an earlier flow with its key without a sign, and the
+// server of that one, which still holds it, leaves. After the idle timeout the earlier flow may have been discarded, so that its end needs no reset.
+func TestIdleFlowIsNotResetOnceItMayBeDiscarded(t *testing.T) {
+	for _, c := range []struct {
+		idleFor time.Duration
+		reset   bool
+	}{{-time.Second, true}, {time.Second, false}} {
+		env := newTestEnv(t, true)
+		env.receiveHeartbeat(nil)
+		env.agent.Configure(env.cluster.table)
+		env.openFlow()
+		env.receiveFromServer(4, flow.Header{Ack: true, Len: 50})
+		env.Equal(env.read(env.client), []byte{4})
+		env.agent.mu.Lock()
+		env.agent.flows.ExtendIdleTime(-env.cluster.table.Idle - c.idleFor)
+		env.agent.mu.Unlock()
+		env.endServer()
+		env.Equal(env.read(env.client) != nil, c.reset)
+		env.Equal(env.verdict(), seek.Denied)
+	}
+}
--- a/internal/deliv/deliv.go
+++ b/internal/deliv/deliv.go
@@ -134,6 +134,8 @@
 	// completeByStart means that the table is complete since the agent has run since before the server started, and not only since idle flows
 	// have timed out.
 	completeByStart bool
+	// idleTimeout is the time without packets after which a flow may be discarded.
+	idleTimeout time.Duration
 	// mayReplaceList is set once the saved list of the previous process has been restored, or can't be.
 	mayReplaceList bool
 	// savedFlows is the number of open flows in the saved list, which was last encoded at listSavedAt.
@@ -162,7 +164,7 @@
 	}
 	a := &Agent{
 		opts: opts, counters: new(expvar.Map), startedAt: now, lastRunAt: now, incompleteSince: now, listReplies: encap.ReplyID(rand.Uint64()),
-		server: server.New(serverOpts), flows: flow.NewTable[flowState](unknownIdleTimeout, maxFlows),
+		idleTimeout: unknownIdleTimeout, server: server.New(serverOpts), flows: flow.NewTable[flowState](unknownIdleTimeout, maxFlows),
 		denied: flow.NewTable[struct{}](deniedTTL, maxFlows), asked: flow.NewTable[struct{}](askedTTL, maxFlows),
 		serverStarted: make(chan struct{}, 1), exitChecksDue: make(chan struct{}, 1),
 		queue: pace.New[flow.Key](), serviceTimer: pace.NewServiceTimer[flow.Key](), waitTimes: logs.NewHistogram(),
@@ -218,15 +220,18 @@
 func (a *Agent) Configure(table *route.Table) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	idle := table.Idle + table.LongestTimeout() + idleMargin
-	if table.Idle <= 0 {
-		if a.flows.IdleTimeout() != unknownIdleTimeout {
-			return
-		}
-		idle = defaultIdleTimeout + table.LongestTimeout()
+	kept := table.Idle + idleMargin
+	switch {
+	case table.Idle > 0:
+		a.idleTimeout = table.Idle
+	case a.flows.IdleTimeout() != unknownIdleTimeout:
+		return
+	default:
+		a.idleTimeout, kept = defaultIdleTimeout, defaultIdleTimeout
 	}
-	a.flows.SetIdleTimeout(idle)
-	if completeAt := a.incompleteSince.Add(idle + a.pausedFor); time.Now().Before(a.tableCompleteAt) {
+	kept += table.LongestTimeout()
+	a.flows.SetIdleTimeout(kept)
+	if completeAt := a.incompleteSince.Add(kept + a.pausedFor); time.Now().Before(a.tableCompleteAt) {
 		a.tableCompleteAt = completeAt
 	}
 }
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -373,15 +373,17 @@
 
 // resetFlows resets the open flows that the server lost by a restart or shutdown. Idle flows are reset too: a later request on
 // one would be lost, and would fail if it must not be repeated. Opening and unconfirmed flows are removed only: they may be open at another
-// server, which took a copy of the SYN, or to which the client has opened a later flow.
+// server, which took a copy of the SYN, or to which the client has opened a later flow. So are those that have been idle for so long that they
+// may be discarded.
 func (a *Agent) resetFlows(lost func(*flowState) bool, reason string) {
 	var keys, unheld []flow.Key
+	idleSince := time.Now().Add(-a.idleTimeout)
 	a.flows.Each(func(k flow.Key, f *flowState) {
 		switch {
 		case !lost(f):
-		case f.phase == phaseOpen:
+		case f.phase == phaseOpen && a.flows.UsedSince(k, idleSince):
 			keys = append(keys, k)
-		case f.phase == phaseOpening || f.phase == phaseUnconfirmed:
+		case f.phase == phaseOpen || f.phase == phaseOpening || f.phase == phaseUnconfirmed:
 			unheld = append(unheld, k)
 		}
 	})
