deliv: claim a held flow that an entry probes for

An entry probes a server by the verdict of before the server confirmed the flow: Opening, now also of flows of a saved list. The agent then passed the packet on without a word, since it awaited nothing more, and the entry dropped the flow's packets as long as another reply was missing, or took the silence of 25 ms for the answer. A packet that both ends' numbers show to be of the held flow is claimed at once.

The test failed before:

unconfirmed_test.go:166: unknown != claim --- FAIL: TestProbeOfConfirmedFlowIsClaimed

--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -214,7 +214,7 @@
 // sendProbe sends the queued packets of a flow to the server at once: the entry waits for the server's decision, and only
 // one of the probed servers holds the flow. It claims the flow if the probing packet h shows that this server does.
 func (a *Agent) sendProbe(key flow.Key, f *flowState, h flow.Header, now time.Time) {
-	if f.handshakeWith(h) == choseServer {
+	if f.handshakeWith(h) == choseServer || f.phase == phaseOpen && f.numbers.Match(h) == flow.Same {
 		a.sendClaim(key, f, h, now)
 	}
 	f.probed = true
--- a/internal/deliv/unconfirmed_test.go
+++ b/internal/deliv/unconfirmed_test.go
@@ -150,3 +150,20 @@
 		env.Equal(env.verdict(), want)
 	}
 }
+
+// Guards against packets of an open flow that an entry drops: it probes by what it knew before the server confirmed the flow, and the agent
+// didn't say that its server holds it.
+func TestProbeOfConfirmedFlowIsClaimed(t *testing.T) {
+	for _, c := range []struct {
+		h    flow.Header
+		want encap.Kind
+	}{{request, encap.Claim}, {laterRequest, encap.Return}} {
+		env := newTestEnv(t, false)
+		env.receiveHeartbeat(nil)
+		env.restore()
+		env.receiveFromServer(1, flow.Header{Ack: true, AckNumber: 10, Len: 50})
+		env.receiveDatagram(encap.Header{Kind: encap.Probe}, 2, c.h)
+		env.Equal(env.readKind(env.entry), c.want)
+		env.Equal(env.read(env.server) != nil, c.want == encap.Claim)
+	}
+}
