deliv: an ended flow gets only packets that are certainly its own

A packet on an ended flow whose numbers the agent doesn't know reached the server, which answers data with an RST that went to the client, perhaps of a later flow. It goes back to the entry now.

The test failed before:

--- FAIL: TestPacketOfSameFlowReachesServer reused_key_test.go:166: nothing shows that the packet is of the flow that has ended

--- a/internal/deliv/evidence.go
+++ b/internal/deliv/evidence.go
@@ -56,12 +56,14 @@
 }
 
 // isOtherFlow reports whether a client's packet h belongs to another flow with the same key: it is another SYN than this flow's, or its
-// numbers are others. Until the handshake is complete, handshakeWith decides on acknowledgements.
+// numbers are others. Until the handshake is complete, handshakeWith decides on acknowledgements. A flow that has ended gets only packets that
+// are certainly its own.
 func (f *flowState) isOtherFlow(h flow.Header) bool {
 	if h.Opens() {
 		return f.synSeen && f.synSeq != h.Seq
 	}
-	return !f.isUndecided() && f.numbers.Match(h) == flow.Other
+	match := f.numbers.Match(h)
+	return !f.isUndecided() && (match == flow.Other || match == flow.Unknown && f.phase == phaseClosed)
 }
 
 // recordSyn records a SYN h that the server is sent on a flow in the table. If the agent hasn't seen the flow's SYN, this may be a copy of it, or
--- a/internal/deliv/reused_key_test.go
+++ b/internal/deliv/reused_key_test.go
@@ -161,6 +161,10 @@
 	if unknown.isOtherFlow(flow.Header{Ack: true, AckNumber: 1 << 31}) {
 		t.Error("no numbers are known")
 	}
+	unknown.phase = phaseClosed
+	if !unknown.isOtherFlow(flow.Header{Ack: true, AckNumber: 1 << 31}) {
+		t.Error("nothing shows that the packet is of the flow that has ended")
+	}
 }
 
 // Guards against the reset of a flow that is open at another server: a saved list names an earlier flow with its key, and the numbers of the
