deliv: don't send clients the RST by which a server answers late packets

An agent sent on each RST of its server on a flow that had ended. That server also answers a late packet of the ended flow itself in this way, when the client may long use the port for a flow at another server, whose numbers no longer matter: the RST met it. Only a flow that the server has reset itself is reset again, so that a client that missed the first RST learns it, and only until a packet of another flow with the key comes.

--- a/internal/deliv/evidence.go
+++ b/internal/deliv/evidence.go
@@ -148,6 +148,12 @@
 	return f.phase == phaseOpen || f.phase == phaseOpening && f.chosen
 }
 
+// mayBeReset reports whether an RST of the server is one on this flow, and news for its client. An ended flow's server also answers late packets with an
+// RST, when the client may have used the port again: only one that the server has reset is reset again.
+func (f *flowState) mayBeReset() bool {
+	return f.isHeld() && (f.phase != phaseClosed || f.resetByServer)
+}
+
 // mayHaveEnded reports whether a packet of the server may be the reply to a FIN on a flow that has ended, so that it doesn't show that the
 // server holds the flow. If the agent has seen no packet of the client, the reply may be to one that an earlier process sent on.
 func (f *flowState) mayHaveEnded(h flow.Header) bool {
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -84,8 +84,9 @@
 	synSeen bool
 	// chosen means that the client has acknowledged the server's SYN+ACK, so that the server holds the flow once the packet arrives.
 	chosen bool
-	// wasOpen means that the server may have held the flow before it was closed.
-	wasOpen bool
+	// wasOpen means that the server may have held the flow before it was closed. resetByServer means that the server closed it by an RST, and
+	// that no packet of another flow with the key has come since.
+	wasOpen, resetByServer bool
 	// numbers tell the packets of the flow from those of others with the same key: of the client's SYN, and of the server's packets once it
 	// holds the flow. On an undecided flow they are those of a SYN that the server was sent since.
 	numbers flow.Numbers
@@ -305,6 +306,7 @@
 		}
 		a.dispatch(now)
 	}
+	f.resetByServer = f.resetByServer || h.Rst
 	if h.Rst || (f.clientFin && f.serverFin) {
 		a.closeFlow(key, f)
 	}
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -221,6 +221,7 @@
 func (a *Agent) handleFlowPacket(from netip.AddrPort, header encap.Header, h flow.Header, b []byte, now time.Time) {
 	key := h.KeyFromClient()
 	if f := a.flows.Peek(key); f != nil && f.isOtherFlow(h) {
+		f.resetByServer = false
 		a.logOtherFlow(key, f, h, now)
 		header.Verdict = a.sameKeyVerdict(key, f, now)
 		a.returnToEntry(b, header, from)
--- a/internal/deliv/server_reset_test.go
+++ b/internal/deliv/server_reset_test.go
@@ -102,3 +102,29 @@
 	defer env.agent.mu.Unlock()
 	env.agent.tableCompleteAt = time.Now()
 }
+
+// Guards against the reset of an open flow by the server of an earlier one with the same key, which has ended there: the agent sent on the RST by
+// which that server answers a late packet of the earlier flow. A client that was reset and sends again must still learn it.
+func TestResetOfEndedFlowDoesNotReachClient(t *testing.T) {
+	for _, resetByServer := range []bool{true, false} {
+		env := newTestEnv(t, true)
+		env.receiveHeartbeat(nil)
+		env.openFlow()
+		if resetByServer {
+			env.receiveFromServer(4, flow.Header{Rst: true, Seq: 1})
+			env.Equal(env.read(env.client), []byte{4})
+		} else {
+			env.closeFlow()
+		}
+		env.receiveDatagram(encap.Header{Kind: encap.Forward}, 6, request) // Of the flow that has ended.
+		env.Equal(env.read(env.server), []byte{6})
+		env.receiveFromServer(7, flow.Header{Rst: true, Seq: 50})
+		env.Equal(env.read(env.client) != nil, resetByServer)
+		if !resetByServer {
+			env.Equal(env.verdict(), seek.Held) // The client may still get the end of the last response.
+		}
+		env.receiveDatagram(encap.Header{Kind: encap.Forward}, 8, laterRequest) // The client uses the port again.
+		env.receiveFromServer(9, flow.Header{Rst: true, Seq: 50})
+		env.Equal(env.read(env.client), nil)
+	}
+}
