deliv: a late SYN doesn't replace what is known of an open flow

A SYN with the key of an open flow and another number replaced the agent's state by that of an opening flow. If it was a late one of an earlier flow, which the server ignores, the agent then took the open flow's packets for another flow's and returned them all, until the server sent something.

The flow becomes unconfirmed: the server decides on all packets, and its next one tells which flow it holds. The same holds for a second SYN of an undecided flow. As long as that isn't decided, a returned packet of another flow tells the entry that nothing may be reset.

Not covered: a late SYN that reaches an agent which has started since and has seen nothing of the open flow.

--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -113,13 +113,14 @@
 	return seek.Held
 }
 
-// sameKeyVerdict returns whether the server holds the flow f, which has the key of a packet of another flow. f may be nil.
+// sameKeyVerdict returns whether the server holds the flow f, which has the key of a packet of another flow. f may be nil. Nothing is reset while
+// it holds one, or hasn't decided on one that is unconfirmed.
 func (a *Agent) sameKeyVerdict(key flow.Key, f *flowState, now time.Time) seek.Verdict {
 	if f == nil {
 		return 0
 	}
 	verdict := a.flowVerdict(key, f, now)
-	if verdict == seek.Opening && f.chosen {
+	if verdict == seek.Opening && (f.chosen || f.phase == phaseUnconfirmed) {
 		return seek.Held
 	}
 	return verdict
@@ -144,13 +145,15 @@
 		a.passOnOrRefuse(key, header, b, string(reason))
 		return
 	}
-	if f := a.flows.Peek(key); f != nil && f.phase == phaseOpen {
-		a.opts.FlowLog.Info("new flow with the key of an open one", a.flowFields(key, f, now)...)
+	phase := phaseOpening
+	if f := a.flows.Peek(key); f != nil && (f.phase == phaseOpen || f.isUndecided()) {
+		a.opts.FlowLog.Info("new flow with the key of one that may be open", a.flowFields(key, f, now)...)
+		phase = phaseUnconfirmed // The SYN may be a late one of an earlier flow, and the server ignore it.
 	}
 	a.removeFlow(key)
 	f := a.flows.Put(key, flowState{
-		phase: phaseOpening, serverRestarts: a.server.Restarts(), entry: header.Entry, service: header.Service,
-		fallback: header.Fallback, hops: header.Hops, claimPending: header.Hops > 0, firstSeen: now,
+		phase: phase, serverRestarts: a.server.Restarts(), entry: header.Entry, service: header.Service,
+		fallback: header.Fallback, hops: header.Hops, claimPending: header.Hops > 0 || phase == phaseUnconfirmed, firstSeen: now,
 		synSeq: h.Seq, synSeen: true,
 	}, now)
 	f.numbers.RecordClient(h.Seq + 1)
--- a/internal/deliv/same_key_test.go
+++ b/internal/deliv/same_key_test.go
@@ -41,3 +41,14 @@
 	env.Equal(header.Kind, encap.Return)
 	env.Equal(header.Verdict, seek.Held)
 }
+
+// Guards against the same where the server was sent the SYN of a flow beside one that a saved list names: what it holds isn't decided yet.
+func TestReturnTellsOfUnconfirmedFlowWithSameKey(t *testing.T) {
+	env := undecidedEnv(t, true)
+	env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 1, laterSyn)
+	env.receiveFromServer(2, flow.Header{Ack: true, Seq: 10, Len: 100, Bounced: true})
+	header, _, err := encap.Parse(env.read(env.entry))
+	env.NoErr(err)
+	env.Equal(header.Kind, encap.Return)
+	env.Equal(header.Verdict, seek.Held)
+}
--- a/internal/deliv/server_packet.go
+++ b/internal/deliv/server_packet.go
@@ -113,6 +113,8 @@
 		f.synAckSeen = true
 	case f.isUndecided():
 		f.synAckSeen = true
+		a.server.RecordOpenAccepted()
+		a.countOpenFlow(f)
 	}
 }
 
