--- a/internal/deliv/model_test.go
+++ b/internal/deliv/model_test.go
@@ -14,6 +14,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/route"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
+	"github.com/bergamotrun/bergamotrun/internal/server"
 )
 
 // modelCodec is a Codec whose packets carry all that the model needs: sender, flags, both numbers and the size.
@@ -70,6 +71,8 @@
 	// serverFlow is the flow that the server holds or is opening, and serverEnded the one that ended last.
 	serverFlow, serverEnded *modelFlow
 	serverNext              uint32
+	// starts counts the starts of the server.
+	starts int
 	// unanswered counts the packets of the current flow, which the server holds, that came back in a row.
 	unanswered int
 	violation  string
@@ -251,7 +254,7 @@
 // step plays a random event.
 func (m *model) step() {
 	f := m.current()
-	switch m.rand.IntN(14) {
+	switch m.rand.IntN(15) {
 	case 0: // The client uses the port for a new flow.
 		if !f.ended && f.opened && m.rand.IntN(3) > 0 { // Else it gives up without a sign.
 			m.send(modelFin, 0)
@@ -275,6 +278,10 @@
 		}
 	case 2:
 		m.restart()
+	case 13: // A client that gave up a flow without a sign may be told of its end later.
+		if m.serverFlow == nil || m.serverFlow == f || m.serverFlow.ended {
+			m.restartServer()
+		}
 	case 12: // A late copy of a SYN, which comes after the agent has seen a packet of the current flow.
 		earlier := m.flows[m.rand.IntN(len(m.flows))]
 		if earlier.here && earlier.synSeq != 0 && m.isKnown() {
@@ -305,7 +312,25 @@
 	opts.Vars.Init()
 	opts.FirstStart = firstStart
 	m.agent = New(opts)
-	m.receiveHeartbeat(nil)
+	m.receiveHeartbeat(m.ofStart)
+}
+
+// ofStart turns a heartbeat into one of the server's latest start.
+func (m *model) ofStart(hb *server.Heartbeat) {
+	hb.ID, hb.StartedAt = fmt.Sprintf("i-%d", m.starts), startedAt.Add(time.Duration(m.starts)*time.Minute)
+}
+
+// restartServer starts the server again, which then holds nothing.
+func (m *model) restartServer() {
+	m.log("server restarts")
+	if m.serverFlow != nil {
+		m.serverFlow.held = false
+	}
+	m.serverFlow, m.serverEnded = nil, nil
+	m.starts++
+	m.ageFlows(time.Minute)
+	m.receiveRestart(m.ofStart)
+	m.settleAll()
 }
 
 // restart starts the agent's process again. Its saved list may name a flow with the key, of now or of earlier.
