relay: tell flows from the same port apart by the numbers of both ends

Callers saw resets of open flows, and new flows that didn't open, from ports that they used again. Cause: the entry compared only the client's number, within 2^24 either way, so that 1 in 128 later flows passed for the earlier one, and a search and its verdicts were kept by the key alone: denials and returned packets of the earlier flow counted for the later one, within 2 s of its last packet. A late packet of the earlier flow could also end the hold of a SYN, or lead to a reset that met the client's new flow, whose SYN this entry had just sent. A SYN within 2 s of a found or listed flow counted as a copy of that one's, and was lost if the agent refused it.

Flows and searches now have flow.Numbers. A packet of another flow starts a search of its own, and ends none of another flow by a verdict. What doesn't match is only searched for.

--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// numbers returns the numbers of the flow that the SYN opens.
+func (o *heldOpen) numbers() *flow.Numbers { return numbersOfSyn(o.header) }
+
+// numbersOfSyn returns the numbers of the flow that a SYN opens.
+func numbersOfSyn(h flow.Header) *flow.Numbers {
+	var n flow.Numbers
+	n.RecordClient(h.Seq)
+	return &n
+}
+
 // mayBeOpen reports whether a server may have accepted a copy of the SYN.
 func (o *heldOpen) mayBeOpen() bool { return o.sent || o.copies != allCopies }
 
@@ -62,7 +72,7 @@
 		return
 	}
 	f := r.flows.Get(key, now)
-	if f != nil && !f.mayBeOpenedBy(h, now) {
+	if f != nil && (!f.mayBeOpenedBy(h, now) || f.isOnlyListed() && r.opts.Cluster.Dead(f.agent)) {
 		r.flows.Delete(key)
 		f = nil
 	}
@@ -85,9 +95,12 @@
 	if !f.openedAt.IsZero() {
 		return f.synSeq == h.Seq
 	}
-	return now.Sub(f.openSince) < maxOpeningTime
+	return now.Sub(f.openSince) < maxOpeningTime && f.numbers.Match(flow.Header{Seq: h.Seq}) != flow.Other
 }
 
+// isOnlyListed reports whether all that this entry knows of the flow is that an agent has listed its key.
+func (f *flowState) isOnlyListed() bool { return f.openedAt.IsZero() && f.numbers == flow.Numbers{} }
+
 // placeFlow chooses an agent for a new flow and sends it the SYN. It returns false if no agent accepts new flows.
 func (r *Relay) placeFlow(key flow.Key, h flow.Header, rt *route.Route, b []byte, avoid netip.AddrPort, now time.Time) bool {
 	service := rt.ServiceForHash(key.Hash())
@@ -106,7 +119,7 @@
 		refusals = f.refusals
 	}
 	r.flows.Put(key, flowState{
-		agent: first, service: route.ServiceID(service), openedAt: now, synSeq: h.Seq, clientSeq: h.Seq, clientSeqKnown: true,
+		agent: first, service: route.ServiceID(service), openedAt: now, synSeq: h.Seq, numbers: *numbersOfSyn(h),
 		retransmissions: h.AckNumber, refusals: refusals, route: rt.Name,
 	}, now)
 	r.opts.Cluster.RecordOpen(first)
@@ -134,7 +147,7 @@
 	r.counters.Add("open_returned", 1)
 	r.opts.Cluster.RecordRefusal(agent)
 	f := r.flows.Peek(key)
-	if f == nil || f.claimed || !f.openSince.IsZero() || r.held[key] != nil {
+	if f == nil || f.claimed || r.held[key] != nil || !f.openSince.IsZero() && !f.isOnlyListed() {
 		return
 	}
 	r.opts.Cluster.RecordRefusal(f.agent)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -130,10 +130,10 @@
 	// openedAt is when this entry sent the flow's SYN to the agent; it is zero if an agent reported the flow, whose earlier requests
 	// this entry then hasn't seen.
 	openedAt time.Time
-	// synSeq is the sequence number of the SYN, if openedAt is set. clientSeq is that of the newest packet of the client, if clientSeqKnown
-	// is set.
-	synSeq, clientSeq uint32
-	clientSeqKnown    bool
+	// synSeq is the sequence number of the SYN, if openedAt is set.
+	synSeq uint32
+	// numbers are those of the client's packets that this entry has seen.
+	numbers flow.Numbers
 	// retransmissions is the highest SYN retransmission number seen; the first transmission has number 0.
 	retransmissions uint32
 	// openSince is since when this entry has known that the flow is open: it sent a later packet than the SYN to the agent, or
@@ -247,13 +247,16 @@
 		r.openFlow(key, h, rt, b, now)
 		return
 	}
-	delete(r.held, key) // A server has accepted another copy of the SYN.
-	f := r.flows.Get(key, now)
+	if held := r.held[key]; held != nil && held.numbers().Match(h) != flow.Other {
+		delete(r.held, key) // A server has accepted another copy of the SYN.
+	}
+	f := r.flows.Peek(key)
 	if f == nil || r.opts.Cluster.Dead(f.agent) || !f.mayContain(h) {
 		r.findHolder(key, h, rt, b, now)
 		return
 	}
-	f.clientSeq, f.clientSeqKnown = h.Seq, true
+	r.flows.Get(key, now)
+	recordNumbers(&f.numbers, h)
 	r.recordLifetime(f, h)
 	if f.openSince.IsZero() {
 		f.openSince = now
@@ -262,14 +265,19 @@
 	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(table), Service: f.service, Entry: r.opts.Self}, b, f.agent)
 }
 
-// maxSeqDistance is how far the sequence numbers of two packets of a client can be apart on one flow. A client has at most 16 packets of
-// 1,200 bytes in flight; the rest allows for packets that come to other entries.
-const maxSeqDistance = 1 << 24
+// mayContain reports whether a client's packet may be of this flow, by its numbers. Otherwise it is of another flow with the same key, as the
+// client has used its port again, or of this one after packets that came to other entries.
+func (f *flowState) mayContain(h flow.Header) bool { return h.Rst || f.numbers.Match(h) != flow.Other }
 
-// mayContain reports whether a client's packet may be of this flow, by its sequence number. Otherwise it is of another flow with the same
-// key: the client has used its port again.
-func (f *flowState) mayContain(h flow.Header) bool {
-	return !f.clientSeqKnown || h.Rst || h.Seq-f.clientSeq+maxSeqDistance <= 2*maxSeqDistance
+// recordNumbers records the numbers of a client's packet that isn't a SYN. Those of an RST may be any.
+func recordNumbers(n *flow.Numbers, h flow.Header) {
+	if h.Rst {
+		return
+	}
+	n.RecordClient(h.Seq + uint32(h.Len))
+	if h.Ack {
+		n.RecordServer(h.AckNumber)
+	}
 }
 
 // recordLifetime adds a flow to its route's lifetime estimate once it has begun its second request or has ended before.
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -43,6 +43,8 @@
 	// packetHeader is the header of the newest client packet, which came at packetAt.
 	packetHeader flow.Header
 	packetAt     time.Time
+	// numbers are those of the client's packets that the search has had.
+	numbers flow.Numbers
 	// packets are the queued client packets, each preceded by encap.HeaderSize bytes for an encap.Header.
 	packets [][]byte
 	timer   *time.Timer
@@ -57,7 +59,7 @@
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
 func (r *Relay) findHolder(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	s := r.searches[key]
-	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval) {
+	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval || !s.mayContain(h)) {
 		r.removeSearch(key, s)
 		s = nil
 	}
@@ -71,12 +73,16 @@
 		r.counters.Add("searched", 1)
 	}
 	s.packetHeader, s.packetAt, s.unattended = h, now, false
+	recordNumbers(&s.numbers, h)
 	s.queuePacket(b)
 	if s.paused {
 		r.resume(key, s, rt, now)
 	}
 }
 
+// mayContain reports whether a client's packet may be of the flow that is searched for. The verdicts of a search count for one flow only.
+func (s *search) mayContain(h flow.Header) bool { return h.Rst || s.numbers.Match(h) != flow.Other }
+
 // resume continues a paused search.
 func (r *Relay) resume(key flow.Key, s *search, rt *route.Route, now time.Time) {
 	s.paused = false
@@ -278,7 +284,7 @@
 	r.opts.FlowLog.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.startedAt)),
 		zap.Stringer("by", s.SourceOf(agent)))
 	r.counters.Add("found", 1)
-	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now}, now)
+	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now, numbers: s.numbers}, now)
 	for _, b := range s.packets {
 		r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, b, agent)
 	}
@@ -288,8 +294,8 @@
 // handleLost resets a flow that no agent holds, so that its client can reconnect at once. Nothing is reset while some
 // agents may be unknown; the search then goes on later.
 func (r *Relay) handleLost(key flow.Key, s *search, now time.Time) {
-	if f := r.flows.Peek(key); f != nil && f.openedAt.After(s.startedAt) {
-		r.removeSearch(key, s) // The client has opened a new flow from the same port.
+	if r.usedAgain(key, s) {
+		r.removeSearch(key, s)
 		return
 	}
 	r.flows.Delete(key)
@@ -308,6 +314,19 @@
 	r.removeSearch(key, s)
 }
 
+// usedAgain reports whether the client has opened, or is opening, another flow with the key through this entry, so that a reset of the flow
+// that is searched for would meet it.
+func (r *Relay) usedAgain(key flow.Key, s *search) bool {
+	if r.held[key] != nil {
+		return true
+	}
+	f := r.flows.Peek(key)
+	if f == nil || f.openedAt.IsZero() {
+		return false
+	}
+	return f.openedAt.After(s.startedAt) || !f.mayContain(s.packetHeader) && s.startedAt.Sub(f.openedAt) < maxOpeningTime
+}
+
 // removeSearch ends a search. Packets that are still queued are dropped.
 func (r *Relay) removeSearch(key flow.Key, s *search) {
 	if s.timer != nil {
@@ -315,137 +334,3 @@
 	}
 	delete(r.searches, key)
 }
-
-// handleDatagram dispatches a datagram from an agent.
-func (r *Relay) handleDatagram(from netip.AddrPort, b []byte) {
-	r.meter.RecordReceived(b)
-	header, body, err := encap.Parse(b)
-	if err != nil {
-		r.counters.Add("hop_damaged", 1)
-		return
-	}
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch header.Kind {
-	case encap.QueryReply:
-		r.handleQueryReply(from, header.Verdict, body, now)
-	case encap.Claim:
-		r.handleClaim(from, header.Service, body, now)
-	case encap.ListReply:
-		r.handleListReply(from, header, body, now)
-	case encap.Return:
-		r.handleReturn(from, header.Verdict, b, body, now)
-	default:
-		r.counters.Add("hop_unexpected", 1)
-	}
-}
-
-// handleQueryReply records an agent's verdict on a single flow.
-func (r *Relay) handleQueryReply(agent netip.AddrPort, verdict seek.Verdict, body []byte, now time.Time) {
-	key, ok := encap.ParseKey(body)
-	s := r.searches[key]
-	if !ok || s == nil {
-		return
-	}
-	s.RecordVerdict(agent, verdict, seek.Reply)
-	r.advance(key, s, now)
-}
-
-// handleClaim records that an agent holds a flow.
-func (r *Relay) handleClaim(agent netip.AddrPort, service uint64, body []byte, now time.Time) {
-	key, ok := encap.ParseKey(body)
-	if !ok {
-		return
-	}
-	if s := r.searches[key]; s != nil {
-		s.RecordVerdict(agent, seek.Held, seek.Claimed)
-		r.advance(key, s, now)
-	}
-	switch f := r.flows.Get(key, now); {
-	case f == nil:
-	case f.agent != agent && !f.openSince.IsZero() && !r.opts.Cluster.Dead(f.agent):
-		// The client's later packets went to another agent, which hasn't returned them: the claim is late, or of a server that the
-		// client didn't choose.
-		r.counters.Add("move_ignored", 1)
-	default:
-		r.logMoved(key, f, agent, "claim", now)
-		f.agent, f.service, f.claimed = agent, service, true
-	}
-	delete(r.held, key)
-	r.counters.Add("claimed", 1)
-}
-
-// logMoved logs that an agent's message is about to change the agent of a flow in the table.
-func (r *Relay) logMoved(key flow.Key, f *flowState, to netip.AddrPort, by string, now time.Time) {
-	if f.agent == to {
-		return
-	}
-	fields := []zap.Field{
-		zap.Stringer("flow", key), zap.Stringer("from", f.agent), zap.Stringer("to", to), zap.String("by", by), zap.Bool("claimed", f.claimed),
-	}
-	if !f.openedAt.IsZero() {
-		fields = append(fields, zap.Duration("placed", now.Sub(f.openedAt)))
-	}
-	if !f.openSince.IsZero() {
-		fields = append(fields, zap.Duration("open", now.Sub(f.openSince)))
-	}
-	r.opts.FlowLog.Info("flow moved to another agent", fields...)
-}
-
-// handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow. sameKey is the agent's verdict
-// on a flow with the same key, if it knows one.
-func (r *Relay) handleReturn(agent netip.AddrPort, sameKey seek.Verdict, b, body []byte, now time.Time) {
-	h, ok := r.opts.Codec.Parse(body)
-	if !ok {
-		r.counters.Add("hop_damaged", 1)
-		return
-	}
-	key := h.KeyFromClient()
-	if h.Opens() {
-		r.handleRefusedOpen(agent, key, h, b, now)
-		return
-	}
-	r.counters.Add("returned", 1)
-	r.opts.FlowLog.Info("packet returned by an agent", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))
-	s := r.activeSearch(key, now)
-	if s == nil && r.forwardToHolder(agent, key, b) {
-		return
-	}
-	if f := r.flows.Peek(key); f != nil && (f.agent == agent || s == nil) {
-		r.flows.Delete(key)
-	}
-	if s != nil {
-		s.RecordReturn(agent, sameKey)
-		r.advance(key, s, now)
-		return
-	}
-	rt := r.opts.Cluster.Table().Lookup(h.Dst)
-	if rt == nil {
-		return
-	}
-	r.findHolder(key, h, rt, b, now)
-	if s := r.searches[key]; s != nil {
-		s.RecordReturn(agent, sameKey)
-	}
-}
-
-// activeSearch returns the search for a flow, or nil if there is none whose verdicts may still be used.
-func (r *Relay) activeSearch(key flow.Key, now time.Time) *search {
-	s := r.searches[key]
-	if s == nil || s.expired(now) {
-		return nil
-	}
-	return s
-}
-
-// forwardToHolder forwards a packet that an agent returned if the flow has been found at another agent since the packet was sent. It reports
-// whether it did so.
-func (r *Relay) forwardToHolder(agent netip.AddrPort, key flow.Key, b []byte) bool {
-	f := r.flows.Peek(key)
-	if f == nil || f.agent == agent || r.opts.Cluster.Dead(f.agent) {
-		return false
-	}
-	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: f.service, Entry: r.opts.Self}, b, f.agent)
-	return true
-}
