relay, seek: a silent server isn't taken for a flow's holder

Callers saw packets of open flows go to one wrong server for good. Cause: the only server that hadn't returned a probe within 25 ms was taken for the holder and put into the flow table, where no claim could move the flow. Any server behind a choked link or on a busy machine is silent for 25 ms.

Now only a claim, a reply or a list names the holder. The only server that hasn't returned a probe gets one more packet, as a probe, if there is one: servers acknowledge every second packet, so that the agent of the holder claims the flow within a round trip, and an upload doesn't wait for its client's copies. A claim also ends a search that waits for the client's next packet, and goes before replies and lists, which name only a key.

Agents will say Opening for flows of saved lists. Such servers are probed alone for 500 ms, two or three copies of the client's packet; then those that say Perhaps are probed, too, so that a stale list doesn't keep the packets from the holder. The copy of a packet that goes to one server needs no share of the link: after a kill of all processes, all open flows are such.

--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -55,7 +55,7 @@
 	}
 	if s := r.searches[key]; s != nil {
 		s.RecordVerdict(agent, seek.Held, seek.Claimed)
-		r.advance(key, s, now)
+		r.step(key, s, now)
 	}
 	switch f := r.flows.Get(key, now); {
 	case f == nil:
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -39,8 +39,8 @@
 // allowQuery reports whether a query for a single flow may be sent, and counts it.
 func (l *searchLimits) allowQuery(now time.Time) bool { return l.queries.AllowN(now, encap.QuerySize) }
 
-// allowProbes reports whether a packet may be sent to a number of agents, and counts it. A packet that would take more than all that
-// accumulates may be sent when nothing has been used.
-func (l *searchLimits) allowProbes(packet []byte, agents int, now time.Time) bool {
-	return l.probes.AllowN(now, min(agents*encap.WireSize(packet), l.probes.Burst()))
+// allowProbes reports whether a number of copies of a packet may be sent, and counts them. Copies that would take more than all that accumulates
+// may be sent when nothing has been used.
+func (l *searchLimits) allowProbes(packet []byte, copies int, now time.Time) bool {
+	return l.probes.AllowN(now, min(copies*encap.WireSize(packet), l.probes.Burst()))
 }
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -47,7 +47,9 @@
 	numbers flow.Numbers
 	// packets are the queued client packets, each preceded by encap.HeaderSize bytes for an encap.Header.
 	packets [][]byte
-	timer   *time.Timer
+	// probed is the number of queued packets that have been sent as probes.
+	probed int
+	timer  *time.Timer
 	// allServices is set if the agents of all services are queried, not only those of the route's services.
 	allServices bool
 	// paused is set while the search waits for the client's next packet, since pausedAt. unattended is set while it goes on without
@@ -110,7 +112,7 @@
 	}
 	rt := r.opts.Cluster.Table().Lookup(s.packetHeader.Dst)
 	s.unattended = true
-	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now) // No client's packet shows that the earlier verdicts still hold.
+	s.Search = s.Renew(r.possibleHolders(rt, s.allServices), now) // No client's packet shows that the earlier verdicts still hold.
 	r.resume(key, s, rt, now)
 }
 
@@ -172,18 +174,9 @@
 	case seek.Forward:
 		r.handleFound(key, s, step.Agents[0], now)
 	case seek.Probe:
-		if s.unattended || !r.allowProbes(s, len(step.Agents), now) {
-			s.CancelProbe(step.Agents)
-			r.pauseSearch(key, s, "probes left out", now)
-			return
-		}
-		r.counters.Add("tried", int64(len(step.Agents)))
-		r.opts.FlowLog.Info("probing servers that may hold the flow", zap.Stringer("flow", key), zap.Int("servers", len(step.Agents)),
-			zap.Duration("after", now.Sub(s.startedAt)), zap.String("answers", s.Trace()))
-		for _, agent := range step.Agents {
-			r.send(encap.Header{Kind: encap.Probe, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, s.packets[0], agent)
-		}
-		r.scheduleStep(key, s)
+		r.probe(key, s, step.Agents, now)
+	case seek.ProbeMore:
+		r.probeMore(key, s, step.Agents[0], now)
 	case seek.Lost:
 		if !s.allServices {
 			r.searchAllServices(key, s, now)
@@ -195,15 +188,6 @@
 	}
 }
 
-// allowProbes reports whether the packet of a search may be sent to a number of agents.
-func (r *Relay) allowProbes(s *search, agents int, now time.Time) bool {
-	if r.limits.allowProbes(s.packets[0], agents, now) {
-		return true
-	}
-	r.counters.Add("probe_left_out", 1)
-	return false
-}
-
 // searchAllServices extends a search to the agents of all services, since an earlier configuration may have routed the
 // flow to any of them.
 func (r *Relay) searchAllServices(key flow.Key, s *search, now time.Time) {
@@ -244,7 +228,7 @@
 		r.removeSearch(key, s)
 		return
 	}
-	s.packets, s.paused = nil, true
+	s.packets, s.probed, s.paused = nil, 0, true
 	if !s.unattended {
 		s.pausedAt = now
 	}
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -11,7 +11,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 )
 
@@ -20,6 +19,9 @@
 	replyTimeout = 25 * time.Millisecond
 	// probeTimeout is how long a probed server has to bounce the packet.
 	probeTimeout = 25 * time.Millisecond
+	// openingProbeTime is how long servers whose agents say Opening are probed before those whose agents say Perhaps. Their answer comes once
+	// the client has sent its packet twice or thrice.
+	openingProbeTime = 500 * time.Millisecond
 )
 
 // Verdict is an agent's reply about a flow. Zero means that it has not replied.
@@ -31,9 +33,11 @@
 	Denied Verdict = iota + 1
 	// Perhaps means that the agent can't determine whether its backend server holds the flow.
 	Perhaps
-	// Opening means that the server was sent the flow's SYN and the handshake isn't complete.
+	// Opening means that the server may well hold the flow: it was sent the flow's SYN and the handshake isn't complete, or a saved list names
+	// the flow and the server hasn't shown since that it holds it. Such servers are probed before those that say Perhaps, and their agents
+	// claim the flow once the server answers.
 	Opening
-	// Held means that the server holds the flow.
+	// Held means that the server holds a flow with the key, or held one until just now. The agent returns packets of other flows with the key.
 	Held
 )
 
@@ -65,6 +69,9 @@
 	Forward
 	// Probe sends a packet to each of the step's agents, whose servers may hold the flow.
 	Probe
+	// ProbeMore sends one more packet to the step's only agent, as a probe, and drops the others if there is none: the agent's server has not
+	// bounced the first one. It isn't known to hold the flow, but servers acknowledge every second packet, so that the agent can claim it.
+	ProbeMore
 	// Lost means that no candidate holds the flow.
 	Lost
 	// Drop discards the packets; a retransmission resumes the search.
@@ -83,7 +90,8 @@
 	source  Source
 	// verdictAt is when a step first used the verdict.
 	verdictAt time.Time
-	probedAt  time.Time
+	// probedAt is when the server was last probed, firstProbedAt when it was first probed as it may well hold the flow.
+	probedAt, firstProbedAt time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
 	// holdsSameKey means that the agent has returned a packet, but holds a flow with the same key. The packet may be a late one of an
@@ -94,7 +102,9 @@
 // Search is the search for the holder of one flow. It is not safe for concurrent use.
 type Search struct {
 	// queriedAt is when the agents were last queried; replyTimeout counts from then.
-	queriedAt  time.Time
+	queriedAt time.Time
+	// moreAt is when ProbeMore was returned since then, or zero.
+	moreAt     time.Time
 	candidates []candidate
 }
 
@@ -135,7 +145,21 @@
 		added = append(added, candidate{agent: c.Agent, dead: c.Dead})
 	}
 	s.candidates = append(s.candidates, added...)
-	s.queriedAt = now
+	s.queriedAt, s.moreAt = now, time.Time{}
+}
+
+// Renew returns a search for the same flow among the current candidates that starts at now, without the verdicts of s.
+func (s *Search) Renew(current []Candidate, now time.Time) *Search {
+	renewed := New(current, now)
+	for i := range renewed.candidates {
+		c := &renewed.candidates[i]
+		for j := range s.candidates {
+			if s.candidates[j].agent == c.agent {
+				c.firstProbedAt = s.candidates[j].firstProbedAt
+			}
+		}
+	}
+	return renewed
 }
 
 // Unanswered returns the agents without a verdict, which are to be queried.
@@ -205,48 +229,37 @@
 	if unanswered > 0 && now.Sub(s.queriedAt) < replyTimeout {
 		return Step{Action: Wait}
 	}
-	if targets := s.probeTargets(Opening, now); len(targets) > 0 {
-		return s.probe(targets, now)
+	targets := s.probeTargets(Opening, now)
+	if unanswered == 0 && !s.probesOpeningAlone(now) {
+		targets = append(targets, s.probeTargets(Perhaps, now)...)
+	}
+	if len(targets) > 0 {
+		s.recordProbe(targets, now)
+		return Step{Action: Probe, Agents: targets}
 	}
 	if probed := s.probed(now); len(probed) > 0 {
 		return s.evaluateProbes(probed, unanswered, now)
 	}
-	if unanswered > 0 {
-		return Step{Action: Drop}
-	}
-	if targets := s.probeTargets(Perhaps, now); len(targets) > 0 {
-		return s.probe(targets, now)
-	}
 	if s.undecided() {
 		return Step{Action: Drop}
 	}
 	return Step{Action: Lost}
 }
 
-// evaluateProbes returns the next step while probes are pending. After probeTimeout, the only server that has not bounced
-// the packet is taken for the holder. If there are several, or agents that haven't replied, the packets are dropped: the
-// holder's agent claims the flow once it knows.
-func (s *Search) evaluateProbes(probed []netip.AddrPort, unanswered int, now time.Time) Step {
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		if !c.probedAt.IsZero() && c.verdict != Denied && now.Sub(c.probedAt) < probeTimeout {
-			return Step{Action: Wait}
-		}
-	}
-	if len(probed) == 1 && unanswered == 0 {
-		return Step{Action: Forward, Agents: probed}
-	}
-	return Step{Action: Drop}
-}
-
-// holder returns the agent that holds the flow by its own verdict.
+// holder returns the agent that holds the flow by its own verdict. A claim, which a packet of the flow has shown, goes before replies and lists,
+// which name only the key.
 func (s *Search) holder() (netip.AddrPort, bool) {
+	var holder netip.AddrPort
 	for i := range s.candidates {
-		if s.candidates[i].verdict == Held {
-			return s.candidates[i].agent, true
+		switch c := &s.candidates[i]; {
+		case c.verdict != Held:
+		case c.source == Claimed:
+			return c.agent, true
+		case !holder.IsValid():
+			holder = c.agent
 		}
 	}
-	return netip.AddrPort{}, false
+	return holder, holder.IsValid()
 }
 
 // unansweredLive counts the agents without a verdict that aren't dead.
@@ -324,52 +337,3 @@
 	}
 	return false
 }
-
-// probeRetryDelay is the time after which a server may be probed again if its agent has neither returned the packet to the
-// entry nor claimed the flow.
-const probeRetryDelay = 150 * time.Millisecond
-
-// probeTargets returns the agents with the given verdict that have not been probed within probeRetryDelay.
-func (s *Search) probeTargets(verdict Verdict, now time.Time) []netip.AddrPort {
-	var agents []netip.AddrPort
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		if c.verdict == verdict && (c.probedAt.IsZero() || now.Sub(c.probedAt) > probeRetryDelay) {
-			agents = append(agents, c.agent)
-		}
-	}
-	return agents
-}
-
-// probed returns the agents that were probed within probeRetryDelay and have not denied the flow.
-func (s *Search) probed(now time.Time) []netip.AddrPort {
-	var agents []netip.AddrPort
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		if !c.probedAt.IsZero() && c.verdict != Denied && now.Sub(c.probedAt) <= probeRetryDelay {
-			agents = append(agents, c.agent)
-		}
-	}
-	return agents
-}
-
-// CancelProbe records that the packets of a Probe step aren't sent.
-func (s *Search) CancelProbe(agents []netip.AddrPort) {
-	for i := range s.candidates {
-		if slices.Contains(agents, s.candidates[i].agent) {
-			s.candidates[i].probedAt = time.Time{}
-		}
-	}
-}
-
-// probe returns a Probe step and records the time of the probes.
-func (s *Search) probe(agents []netip.AddrPort, now time.Time) Step {
-	for i := range s.candidates {
-		for _, agent := range agents {
-			if s.candidates[i].agent == agent {
-				s.candidates[i].probedAt = now
-			}
-		}
-	}
-	return Step{Action: Probe, Agents: agents}
-}
