relay, seek: a denial after an undecided list needs a probe

Callers' open flows could be reset by an entry. Cause: a search that lists answer carries no key.

Before a search pauses, the agents that couldn't tell by their lists are queried for the key, within half of what queries may take: they note it (Agent.asked) and don't deny the flow without their server's word, to whichever entry the next copy comes. Where the query is left out or lost, the entry remembers for the flow that the agent couldn't tell, also in the searches that follow, and takes its denial for Perhaps until a probe is returned. A reply or list with encap.Certain needs none: the agent denies by what it has seen of its server.

TestResumedSearchQueriesAgentThatCouldNotTell and TestFlowOfAgentThatStandsStillIsNotProbedElsewhere expect the new query, and as before nothing else.

--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -49,8 +49,14 @@
 	ListReply
 )
 
-// Exhaustive is a flag in the Hops field of a ListReply: the backend server holds no flows other than those listed.
-const Exhaustive = 1
+// Flags in the Hops field of a ListReply; a QueryReply may have Certain.
+const (
+	// Exhaustive means that the backend server holds no flows other than those listed.
+	Exhaustive = 1 << iota
+	// Certain means that the agent denies flows by what it has seen of its server, as its start or end, and not only since its own start is longer
+	// ago than flows may be idle.
+	Certain
+)
 
 // MaxKeysPerReply is the maximum number of keys in a ListReply, which then has 1,228 bytes.
 const MaxKeysPerReply = 98
@@ -105,7 +111,7 @@
 // Header precedes the packet, key or list in each datagram.
 type Header struct {
 	Kind Kind
-	// Hops counts how often a SYN was passed on to another agent. In a ListReply it holds flags, see Exhaustive.
+	// Hops counts how often a SYN was passed on to another agent. In a ListReply or QueryReply it holds flags, see Exhaustive.
 	Hops uint8
 	// Version is the sender's configuration version.
 	Version uint64
--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -24,7 +24,7 @@
 	defer r.mu.Unlock()
 	switch header.Kind {
 	case encap.QueryReply:
-		r.handleQueryReply(from, header.Verdict, body, now)
+		r.handleQueryReply(from, header, body, now)
 	case encap.Claim:
 		r.handleClaim(from, header.Service, body, now)
 	case encap.ListReply:
@@ -37,13 +37,13 @@
 }
 
 // handleQueryReply records an agent's verdict on a single flow.
-func (r *Relay) handleQueryReply(agent netip.AddrPort, verdict seek.Verdict, body []byte, now time.Time) {
+func (r *Relay) handleQueryReply(agent netip.AddrPort, header encap.Header, body []byte, now time.Time) {
 	key, ok := encap.ParseKey(body)
 	s := r.searches[key]
 	if !ok || s == nil {
 		return
 	}
-	s.RecordVerdict(agent, verdict, seek.Reply)
+	s.RecordVerdict(agent, header.Verdict, sourceOf(header, seek.Reply))
 	r.advance(key, s, now)
 }
 
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -39,6 +39,11 @@
 // allowQuery reports whether a query for a single flow may be sent, and counts it.
 func (l *searchLimits) allowQuery(now time.Time) bool { return l.queries.AllowN(now, encap.QuerySize) }
 
+// allowSpareQuery is like allowQuery for queries that find no flow. They leave half of what accumulates to those that may.
+func (l *searchLimits) allowSpareQuery(now time.Time) bool {
+	return l.queries.TokensAt(now) >= float64(l.queries.Burst())/2 && l.allowQuery(now)
+}
+
 // allowProbes reports whether a number of copies of a packet may be sent, and counts them. Copies that would take more than all that accumulates
 // may be sent when nothing has been used.
 func (l *searchLimits) allowProbes(packet []byte, copies int, now time.Time) bool {
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// queryUnasked queries the agents that couldn't tell by their lists, so that they know that the flow is searched for: they don't deny it as soon
+// as their tables count as complete, to whichever entry the client's next packet comes.
+func (r *Relay) queryUnasked(key flow.Key, s *search, now time.Time) {
+	for _, agent := range s.Unasked() {
+		if !r.limits.allowSpareQuery(now) {
+			r.counters.Add("query_left_out", 1)
+			return
+		}
+		r.query(key, agent)
+	}
+}
+
 // query queries an agent for a single flow.
 func (r *Relay) query(key flow.Key, agent netip.AddrPort) {
 	header := encap.Header{Kind: encap.Query, Entry: r.opts.Self}
@@ -129,19 +141,27 @@
 	if !list.complete {
 		return
 	}
-	unlistedVerdict := seek.Perhaps
+	verdict, source := seek.Perhaps, seek.Unlisted
 	if list.exhaustive {
-		unlistedVerdict = seek.Denied
+		verdict, source = seek.Denied, sourceOf(header, seek.List)
 	}
 	for key, s := range r.searches {
 		// A flow whose packet arrived after the request may have been opened after the reply was sent.
 		if s.Awaits(agent) && !s.startedAt.After(list.requestedAt) {
-			s.RecordVerdict(agent, unlistedVerdict, seek.List)
+			s.RecordVerdict(agent, verdict, source)
 			r.advance(key, s, now)
 		}
 	}
 }
 
+// sourceOf returns the source of the verdicts in a reply or list.
+func sourceOf(header encap.Header, source seek.Source) seek.Source {
+	if header.Hops&encap.Certain != 0 {
+		return seek.Witness
+	}
+	return source
+}
+
 // handleListedFlow records that an agent listed a flow, as held by its backend server or as opening. A held flow is added to
 // the flow table. One in the table stays at its agent unless that has failed: the list may name an earlier flow with the same key.
 func (r *Relay) handleListedFlow(agent netip.AddrPort, key flow.Key, header encap.Header, now time.Time) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -767,6 +767,7 @@
 	tr.True(!tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
 	tr.relay.pauseSearch(key, tr.relay.searches[key], "test", time.Now()) // B hasn't replied.
 	tr.relay.mu.Unlock()
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Query) // So that it knows that the flow is searched for.
 	tr.sendFromClient(2, ack)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Query)
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -60,9 +60,12 @@
 
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
 func (r *Relay) findHolder(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
-	s := r.searches[key]
+	s, earlier := r.searches[key], (*search)(nil)
 	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval || !s.mayContain(h)) {
 		r.removeSearch(key, s)
+		if s.mayContain(h) {
+			earlier = s
+		}
 		s = nil
 	}
 	if s == nil {
@@ -70,7 +73,7 @@
 			r.counters.Add("search_dropped", 1)
 			return
 		}
-		s = r.newSearch(rt, now)
+		s = r.newSearch(rt, earlier, now)
 		r.searches[key] = s
 		r.counters.Add("searched", 1)
 	}
@@ -125,10 +128,14 @@
 }
 
 // newSearch returns a search among the agents of the route's services. A nil route means that there is no configuration
-// yet; then all agents are searched.
-func (r *Relay) newSearch(rt *route.Route, now time.Time) *search {
+// yet; then all agents are searched. earlier is a search for the same flow whose verdicts count no longer, or nil.
+func (r *Relay) newSearch(rt *route.Route, earlier *search, now time.Time) *search {
 	s := &search{startedAt: now, packetAt: now, paused: true, allServices: rt == nil}
-	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now)
+	if earlier != nil {
+		s.Search = earlier.Renew(r.possibleHolders(rt, s.allServices), now)
+	} else {
+		s.Search = seek.New(r.possibleHolders(rt, s.allServices), now)
+	}
 	if rt != nil {
 		s.route, s.service = rt.Name, route.ServiceID(rt.Targets[0].Service)
 	}
@@ -231,6 +238,7 @@
 	s.packets, s.probed, s.paused = nil, 0, true
 	if !s.unattended {
 		s.pausedAt = now
+		r.queryUnasked(key, s, now)
 	}
 	r.scheduleResume(key, s)
 }
--- a/internal/relay/standstill_test.go
+++ b/internal/relay/standstill_test.go
@@ -45,5 +45,6 @@
 	tr.sendFromClient(1, ack)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.ListReply, Verdict: seek.Held, Version: 5}) // Not exhaustive.
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Query)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
 }
--- a/internal/seek/probe_test.go
+++ b/internal/seek/probe_test.go
@@ -34,7 +34,7 @@
 	s := New(all, start)
 	answer := func() {
 		s.RecordVerdict(agentA, Opening, Reply)
-		s.RecordVerdict(agentB, Perhaps, List)
+		s.RecordVerdict(agentB, Perhaps, Unlisted)
 	}
 	answer()
 	for _, d := range []time.Duration{0, 200 * time.Millisecond} { // The client's packet and its first copy.
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -56,6 +56,10 @@
 	Returned
 	// Claimed means that the agent claimed the flow without a query.
 	Claimed
+	// Unlisted means that the agent's list lacks the flow, and may lack flows of its server. The agent doesn't learn the flow's key by that.
+	Unlisted
+	// Witness means that the agent replied or sent a list, and denies the flow by what it has seen of its server, as its start or end.
+	Witness
 )
 
 // Action is what the entry must do with the flow's packets.
@@ -97,6 +101,9 @@
 	// holdsSameKey means that the agent has returned a packet, but holds a flow with the same key. The packet may be a late one of an
 	// earlier flow.
 	holdsSameKey bool
+	// doubted means that the agent couldn't tell by its list and hasn't named the flow since. A denial may then rest on its table alone, which
+	// counts as complete after some time, and needs a probe.
+	doubted bool
 }
 
 // Search is the search for the holder of one flow. It is not safe for concurrent use.
@@ -155,13 +162,25 @@
 		c := &renewed.candidates[i]
 		for j := range s.candidates {
 			if s.candidates[j].agent == c.agent {
-				c.firstProbedAt = s.candidates[j].firstProbedAt
+				c.firstProbedAt, c.doubted = s.candidates[j].firstProbedAt, s.candidates[j].doubted
 			}
 		}
 	}
 	return renewed
 }
 
+// Unasked returns the agents that couldn't tell by their lists and don't know that the flow is searched for. Once they are queried, they don't
+// deny the flow without their server's word.
+func (s *Search) Unasked() []netip.AddrPort {
+	var agents []netip.AddrPort
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.doubted && c.verdict == Perhaps {
+			agents = append(agents, c.agent)
+		}
+	}
+	return agents
+}
+
 // Unanswered returns the agents without a verdict, which are to be queried.
 func (s *Search) Unanswered() []netip.AddrPort {
 	var agents []netip.AddrPort
@@ -185,7 +204,8 @@
 
 // RecordVerdict records an agent's verdict and its source. An agent that isn't a candidate becomes one only by Held or
 // Opening. One that has returned a packet of the flow can't revoke that by a reply or list, which may be of an earlier flow with the same
-// key, but by a claim. While it holds such a flow, the search doesn't end with Lost. It reports whether the verdict counts.
+// key, but by a claim. While it holds such a flow, the search doesn't end with Lost. A denial by an agent that couldn't tell before counts as
+// Perhaps unless it has named the flow in between. RecordVerdict reports whether the verdict counts.
 func (s *Search) RecordVerdict(agent netip.AddrPort, verdict Verdict, source Source) bool {
 	for i := range s.candidates {
 		c := &s.candidates[i]
@@ -196,6 +216,10 @@
 			c.holdsSameKey = verdict == Held
 			return false
 		}
+		c.resolveDoubt(verdict, source)
+		if c.doubted && verdict == Denied {
+			verdict = Perhaps
+		}
 		c.verdict, c.source, c.verdictAt, c.holdsSameKey = verdict, source, time.Time{}, false
 		return true
 	}
@@ -205,6 +229,16 @@
 	return true
 }
 
+// resolveDoubt updates doubted by a verdict.
+func (c *candidate) resolveDoubt(verdict Verdict, source Source) {
+	switch {
+	case source == Unlisted:
+		c.doubted = true
+	case verdict != Denied || source == Returned || source == Witness:
+		c.doubted = false
+	}
+}
+
 // RecordReturn records that an agent returned a packet of the flow. sameKey is its verdict on a flow with the same key, or 0.
 func (s *Search) RecordReturn(agent netip.AddrPort, sameKey Verdict) {
 	s.RecordVerdict(agent, Denied, Returned)
--- a/internal/seek/trace.go
+++ b/internal/seek/trace.go
@@ -12,7 +12,7 @@
 var verdictNames = [...]string{"unanswered", "denied", "perhaps", "opening", "held"}
 
 // sourceNames holds the names of sources in traces, indexed by Source.
-var sourceNames = [...]string{"", "reply", "list", "earlier_list", "returned", "claimed"}
+var sourceNames = [...]string{"", "reply", "list", "earlier_list", "returned", "claimed", "unlisted", "witness"}
 
 // silentMark marks dead candidates in traces.
 const silentMark = "silent"
