relay: a reply counts only for the search that asked for it

A query names a flow by its key. A denial that waited at a choked link could come in the search for the next flow from the port, which its agent has opened meanwhile, and lead to its reset. The query now carries the ID of the search, which agents are to repeat in the reply (Header.Version, which neither had used). A reply without an ID, of an agent that doesn't repeat it yet, counts as before.

Before (the ID sent, but not compared): doubt_test.go:101: not true: s.Awaits(ptest.Addr(tr.agentA)) --- FAIL: TestReplyToEarlierQueryIsIgnored (0.00s) FAIL FAIL github.com/bergamotrun/bergamotrun/internal/relay 0.005s FAIL

--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -113,7 +113,8 @@
 	Kind Kind
 	// Hops counts how often a SYN was passed on to another agent. In a ListReply or QueryReply it holds flags, see Exhaustive.
 	Hops uint8
-	// Version is the sender's configuration version.
+	// Version is the sender's configuration version. In a Query it is the ID of the search, which the QueryReply repeats; replies of agents of
+	// earlier releases have 0.
 	Version uint64
 	// Service is the ID of the flow's service, see route.ServiceID.
 	Service uint64
--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -40,7 +40,7 @@
 func (r *Relay) handleQueryReply(agent netip.AddrPort, header encap.Header, body []byte, now time.Time) {
 	key, ok := encap.ParseKey(body)
 	s := r.searches[key]
-	if !ok || s == nil {
+	if !ok || s == nil || header.Version != 0 && header.Version != s.id {
 		return
 	}
 	s.RecordVerdict(agent, header.Verdict, sourceOf(header, seek.Reply))
--- a/internal/relay/doubt_test.go
+++ b/internal/relay/doubt_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bergamotrun/bergamotrun/internal/encap"
+	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 )
 
@@ -87,3 +88,19 @@
 	tr.True(spare > 0)
 	tr.True(left >= spare-2)
 }
+
+// Guards against a denial that is recorded for a flow although an agent replied to the query for an earlier one.
+func TestReplyToEarlierQueryIsIgnored(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, packetOfEarlierFlow)
+	earlier := tr.relay.searches[key].id
+	tr.sendFromClient(2, packetOfLaterFlow)
+	s := tr.relay.searches[key]
+	tr.True(s.id != earlier && earlier != 0)
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied, Version: earlier}, key)
+	tr.True(s.Awaits(ptest.Addr(tr.agentA)))
+	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied, Version: s.id}, key)
+	tr.True(!s.Awaits(ptest.Addr(tr.agentA)))
+	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key) // Of an earlier release.
+	tr.True(tr.receivesReset())
+}
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -32,7 +32,7 @@
 			r.counters.Add("query_left_out", 1)
 			continue // The next list covers the flow.
 		}
-		r.query(key, agent)
+		r.query(key, s, agent)
 	}
 }
 
@@ -44,13 +44,13 @@
 			r.counters.Add("query_left_out", 1)
 			return
 		}
-		r.query(key, agent)
+		r.query(key, s, agent)
 	}
 }
 
 // query queries an agent for a single flow.
-func (r *Relay) query(key flow.Key, agent netip.AddrPort) {
-	header := encap.Header{Kind: encap.Query, Entry: r.opts.Self}
+func (r *Relay) query(key flow.Key, s *search, agent netip.AddrPort) {
+	header := encap.Header{Kind: encap.Query, Version: s.id, Entry: r.opts.Self}
 	var buf [encap.HeaderSize + flow.KeySize]byte
 	r.write(header.AppendWithKey(buf[:0], key), agent)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"expvar"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -109,6 +110,8 @@
 	mu       sync.Mutex
 	flows    *flow.Table[flowState]
 	searches map[flow.Key]*search
+	// searchCount is the ID of the latest search. It starts at a random number, so that a restarted entry doesn't use one again.
+	searchCount uint64
 	// lifetimes has the estimator of each route, by name.
 	lifetimes map[string]*pick.LifetimeEstimator
 	lists     map[netip.AddrPort]*flowList
@@ -154,7 +157,7 @@
 		opts: opts, counters: new(expvar.Map), flows: flow.NewTable[flowState](defaultIdleTimeout, maxTableFlows),
 		searches: make(map[flow.Key]*search), lifetimes: make(map[string]*pick.LifetimeEstimator),
 		lists: make(map[netip.AddrPort]*flowList), unrouted: flow.NewTable[time.Time](unroutedTTL, maxUnroutedFlows),
-		held: make(map[flow.Key]*heldOpen),
+		held: make(map[flow.Key]*heldOpen), searchCount: rand.Uint64(),
 	}
 	r.meter = encap.NewMeter(r.counters)
 	r.limits = newSearchLimits(opts.LinkMegabits)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -37,6 +37,8 @@
 // search is the state of a search for the agent that holds one flow.
 type search struct {
 	*seek.Search
+	// id is part of queries and of the replies to them.
+	id        uint64
 	startedAt time.Time
 	service   uint64
 	route     string
@@ -130,7 +132,8 @@
 // newSearch returns a search among the agents of the route's services. A nil route means that there is no configuration
 // yet; then all agents are searched. earlier is a search for the same flow whose verdicts count no longer, or nil.
 func (r *Relay) newSearch(rt *route.Route, earlier *search, now time.Time) *search {
-	s := &search{startedAt: now, packetAt: now, paused: true, allServices: rt == nil}
+	r.searchCount++
+	s := &search{id: r.searchCount, startedAt: now, packetAt: now, paused: true, allServices: rt == nil}
 	if earlier != nil {
 		s.Search = earlier.Renew(r.possibleHolders(rt, s.allServices), now)
 	} else {
