seek: an agent that names a flow of a saved list may hold the one that is searched for

A search ended with a reset though an agent had returned a late packet of an earlier flow from the port and named the open one: as Opening, which agents now say of flows of saved lists, and of those whose handshake isn't complete. Only Held counted.

Before: same_key_test.go:23: 5 != 6 --- FAIL: TestFlowOfAgentThatHoldsFlowWithSameKeyIsNotLost (0.00s) FAIL

--- a/internal/encap/encap.go
+++ b/internal/encap/encap.go
@@ -118,8 +118,8 @@
 	Version uint64
 	// Service is the ID of the flow's service, see route.ServiceID.
 	Service uint64
-	// Verdict is the verdict of a QueryReply, or of all flows in a ListReply. In a Return it is Held if the agent's server holds a flow with
-	// the key of the packet, which is of another flow.
+	// Verdict is the verdict of a QueryReply, or of all flows in a ListReply. In a Return it is that on a flow with the key of the
+	// packet, which is of another flow.
 	Verdict seek.Verdict
 	// Fallback is the agent that a SYN may be passed on to. The zero AddrPort means none.
 	Fallback netip.AddrPort
--- a/internal/seek/same_key_test.go
+++ b/internal/seek/same_key_test.go
@@ -13,6 +13,9 @@
 		func(s *Search) { s.RecordReturn(agentA, Held) },
 		func(s *Search) { s.RecordReturn(agentA, 0); s.RecordVerdict(agentA, Held, Reply) },
 		func(s *Search) { s.RecordReturn(agentA, 0); s.RecordVerdict(agentA, Held, List) },
+		// Its flow is named by a saved list, or is opening.
+		func(s *Search) { s.RecordReturn(agentA, Opening) },
+		func(s *Search) { s.RecordReturn(agentA, 0); s.RecordVerdict(agentA, Opening, Reply) },
 	} {
 		s := newSearch(agentA, agentB)
 		record(s)
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -98,7 +98,7 @@
 	probedAt, firstProbedAt time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
-	// holdsSameKey means that the agent has returned a packet, but holds a flow with the same key. The packet may be a late one of an
+	// holdsSameKey means that the agent has returned a packet, but holds, or may well hold, a flow with the same key. The packet may be a late one of an
 	// earlier flow.
 	holdsSameKey bool
 	// doubted means that the agent couldn't tell by its list and hasn't named the flow since. A denial may then rest on its table alone, which
@@ -213,7 +213,7 @@
 			continue
 		}
 		if c.verdict == Denied && c.source == Returned && source != Returned && source != Claimed {
-			c.holdsSameKey = verdict == Held
+			c.holdsSameKey = namesFlow(verdict)
 			return false
 		}
 		c.resolveDoubt(verdict, source)
@@ -229,6 +229,9 @@
 	return true
 }
 
+// namesFlow reports whether a verdict means that the agent's server holds, or may well hold, a flow with the key.
+func namesFlow(v Verdict) bool { return v == Held || v == Opening }
+
 // resolveDoubt updates doubted by a verdict.
 func (c *candidate) resolveDoubt(verdict Verdict, source Source) {
 	switch {
@@ -244,7 +247,7 @@
 	s.RecordVerdict(agent, Denied, Returned)
 	for i := range s.candidates {
 		if c := &s.candidates[i]; c.agent == agent {
-			c.holdsSameKey = sameKey == Held
+			c.holdsSameKey = namesFlow(sameKey)
 		}
 	}
 }
