relay: late SYNs, packets and lists of a port's earlier flow don't count for the next

- A SYN that an agent returned late was sent to another agent as that of the client's next flow, which the entry then had no more.
- A late packet of the earlier flow led to a search whose reset met the flow that the client used meanwhile through the same entry.
- A search that goes on without its client took replies to queries of before.

Before, with these tests: --- FAIL: TestSynOfReusedPortOfListedFlowAvoidsSilentAgent (0.06s) numbers_test.go:184: open != unknown --- FAIL: TestReturnedSynOfEarlierFlowIsIgnored (0.12s) numbers_test.go:197: not true: !tr.receivesReset() --- FAIL: TestLatePacketDoesNotResetFlowInUse (0.00s) numbers_test.go:209: not true: s.id != before --- FAIL: TestRenewedSearchHasAnotherID (0.00s) FAIL FAIL github.com/bergamotrun/bergamotrun/internal/relay 0.495s FAIL

--- a/internal/relay/numbers_test.go
+++ b/internal/relay/numbers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -154,10 +155,56 @@
 		tr := newTestRelay(t)
 		tr.relay.handleListedFlow(ptest.Addr(tr.agentA), key, encap.Header{Verdict: seek.Held}, time.Now())
 		tr.cluster.agents[0].Ready, tr.cluster.dead[ptest.Addr(tr.agentA)] = false, dead
-		tr.sendFromClient(2, synOfLaterFlow)
+		tr.sendFromClient(2, flow.Header{Syn: true, Seq: synOfLaterFlow.Seq, AckNumber: 1})
 		if !dead {
 			tr.returnFromAgent(tr.agentA, 2)
 		}
 		tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
 	}
 }
+
+// Guards against a flow that doesn't open as its server is slow: a list names the earlier flow from its port, which has just ended, and all copies
+// of the SYN go to that one's agent.
+func TestSynOfReusedPortOfListedFlowAvoidsSilentAgent(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.relay.handleListedFlow(ptest.Addr(tr.agentA), key, encap.Header{Verdict: seek.Held}, time.Now())
+	tr.sendFromClient(1, synOfLaterFlow)
+	tr.Equal(tr.receiveKind(tr.agentA), encap.Open) // Also the best choice.
+	tr.sendFromClient(2, flow.Header{Syn: true, Seq: synOfLaterFlow.Seq, AckNumber: 1})
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Open)
+}
+
+// Guards against a new flow that is lost from the table: an agent returns the SYN of the earlier flow from its port late.
+func TestReturnedSynOfEarlierFlowIsIgnored(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, flow.Header{Syn: true, Seq: 1000})
+	tr.sendFromClient(2, synOfLaterFlow)
+	tr.drain()
+	tr.returnFromAgent(tr.agentA, 1)
+	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
+	tr.Equal(tr.relay.flows.Peek(key).synSeq, synOfLaterFlow.Seq)
+	tr.Equal(tr.cluster.refused, []netip.AddrPort{ptest.Addr(tr.agentA)}) // Once.
+}
+
+// Guards against a reset that meets an open flow: a late packet of the earlier flow from its port is searched for while the client goes on.
+func TestLatePacketDoesNotResetFlowInUse(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, packetOfLaterFlow)
+	tr.answer(seek.Held, seek.Denied)
+	tr.sendFromClient(2, packetOfEarlierFlow)
+	tr.sendFromClient(3, packetOfLaterFlow)
+	tr.answer(seek.Denied, seek.Denied)
+	tr.True(!tr.receivesReset())
+	tr.True(tr.relay.flows.Peek(key) != nil)
+}
+
+// Guards against a reset by a denial that waited at a choked link, in a search that goes on without its client.
+func TestRenewedSearchHasAnotherID(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, packetOfEarlierFlow)
+	tr.pauseSearch(0)
+	s := tr.relay.searches[key]
+	before := s.id
+	tr.relay.resumeUnattended(key, s)
+	tr.True(s.id != before)
+}
--- a/internal/relay/open.go
+++ b/internal/relay/open.go
@@ -95,9 +95,21 @@
 	if !f.openedAt.IsZero() {
 		return f.synSeq == h.Seq
 	}
+	if f.isOnlyListed() && h.AckNumber == 0 {
+		return false // The list may name the earlier flow, and a first SYN is hardly ever later than the packets that follow it.
+	}
 	return now.Sub(f.openSince) < maxOpeningTime && f.numbers.Match(flow.Header{Seq: h.Seq}) != flow.Other
 }
 
+// awaitsOpen reports whether a SYN that an agent returned is to be sent to another one: it is the flow's, and as far as this entry knows the flow
+// isn't open.
+func (f *flowState) awaitsOpen(h flow.Header) bool {
+	if f.openedAt.IsZero() {
+		return f.isOnlyListed() && !f.claimed
+	}
+	return f.synSeq == h.Seq && !f.claimed && f.openSince.IsZero()
+}
+
 // isOnlyListed reports whether all that this entry knows of the flow is that an agent has listed its key.
 func (f *flowState) isOnlyListed() bool { return f.openedAt.IsZero() && f.numbers == flow.Numbers{} }
 
@@ -147,7 +159,7 @@
 	r.counters.Add("open_returned", 1)
 	r.opts.Cluster.RecordRefusal(agent)
 	f := r.flows.Peek(key)
-	if f == nil || f.claimed || r.held[key] != nil || !f.openSince.IsZero() && !f.isOnlyListed() {
+	if f == nil || !f.awaitsOpen(h) || r.held[key] != nil {
 		return
 	}
 	r.opts.Cluster.RecordRefusal(f.agent)
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -116,7 +116,8 @@
 		return
 	}
 	rt := r.opts.Cluster.Table().Lookup(s.packetHeader.Dst)
-	s.unattended = true
+	r.searchCount++
+	s.id, s.unattended = r.searchCount, true
 	s.Search = s.Renew(r.possibleHolders(rt, s.allServices), now) // No client's packet shows that the earlier verdicts still hold.
 	r.resume(key, s, rt, now)
 }
@@ -309,17 +310,22 @@
 	r.removeSearch(key, s)
 }
 
-// usedAgain reports whether the client has opened, or is opening, another flow with the key through this entry, so that a reset of the flow
-// that is searched for would meet it.
+// usedAgain reports whether the client has opened, is opening or is using another flow with the key through this entry, so that a reset of the
+// flow that is searched for would meet it.
 func (r *Relay) usedAgain(key flow.Key, s *search) bool {
 	if r.held[key] != nil {
 		return true
 	}
 	f := r.flows.Peek(key)
-	if f == nil || f.openedAt.IsZero() {
+	switch {
+	case f == nil:
+		return false
+	case f.openedAt.After(s.startedAt):
+		return true
+	case f.mayContain(s.packetHeader):
 		return false
 	}
-	return f.openedAt.After(s.startedAt) || !f.mayContain(s.packetHeader) && s.startedAt.Sub(f.openedAt) < maxOpeningTime
+	return s.startedAt.Sub(f.openedAt) < maxOpeningTime || r.flows.UsedSince(key, s.packetAt)
 }
 
 // removeSearch ends a search. Packets that are still queued are dropped.
