--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -37,15 +37,21 @@
 // search is the state of a search for the agent that holds one flow.
 type search struct {
 	*seek.Search
+	// id is part of queries and of the replies to them.
+	id        uint64
 	startedAt time.Time
 	service   uint64
 	route     string
 	// packetHeader is the header of the newest client packet, which came at packetAt.
 	packetHeader flow.Header
 	packetAt     time.Time
+	// numbers are those of the client's packets that the search has had.
+	numbers flow.Numbers
 	// packets are the queued client packets, each preceded by encap.HeaderSize bytes for an encap.Header.
 	packets [][]byte
-	timer   *time.Timer
+	// probed is the number of queued packets that have been sent as probes.
+	probed int
+	timer  *time.Timer
 	// allServices is set if the agents of all services are queried, not only those of the route's services.
 	allServices bool
 	// paused is set while the search waits for the client's next packet, since pausedAt. unattended is set while it goes on without
@@ -56,9 +62,12 @@
 
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
 func (r *Relay) findHolder(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
-	s := r.searches[key]
-	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval) {
+	s, earlier := r.searches[key], (*search)(nil)
+	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval || !s.mayContain(h)) {
 		r.removeSearch(key, s)
+		if s.mayContain(h) {
+			earlier = s
+		}
 		s = nil
 	}
 	if s == nil {
@@ -66,17 +75,21 @@
 			r.counters.Add("search_dropped", 1)
 			return
 		}
-		s = r.newSearch(rt, now)
+		s = r.newSearch(rt, earlier, now)
 		r.searches[key] = s
 		r.counters.Add("searched", 1)
 	}
 	s.packetHeader, s.packetAt, s.unattended = h, now, false
+	recordNumbers(&s.numbers, h)
 	s.queuePacket(b)
 	if s.paused {
 		r.resume(key, s, rt, now)
 	}
 }
 
+// mayContain reports whether a client's packet may be of the flow that is searched for. The verdicts of a search count for one flow only.
+func (s *search) mayContain(h flow.Header) bool { return h.Rst || s.numbers.Match(h) != flow.Other }
+
 // resume continues a paused search.
 func (r *Relay) resume(key flow.Key, s *search, rt *route.Route, now time.Time) {
 	s.paused = false
@@ -103,8 +116,9 @@
 		return
 	}
 	rt := r.opts.Cluster.Table().Lookup(s.packetHeader.Dst)
-	s.unattended = true
-	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now) // No client's packet shows that the earlier verdicts still hold.
+	r.searchCount++
+	s.id, s.unattended = r.searchCount, true
+	s.Search = s.Renew(r.possibleHolders(rt, s.allServices), now) // No client's packet shows that the earlier verdicts still hold.
 	r.resume(key, s, rt, now)
 }
 
@@ -117,10 +131,15 @@
 }
 
 // newSearch returns a search among the agents of the route's services. A nil route means that there is no configuration
-// yet; then all agents are searched.
-func (r *Relay) newSearch(rt *route.Route, now time.Time) *search {
-	s := &search{startedAt: now, packetAt: now, paused: true, allServices: rt == nil}
-	s.Search = seek.New(r.possibleHolders(rt, s.allServices), now)
+// yet; then all agents are searched. earlier is a search for the same flow whose verdicts count no longer, or nil.
+func (r *Relay) newSearch(rt *route.Route, earlier *search, now time.Time) *search {
+	r.searchCount++
+	s := &search{id: r.searchCount, startedAt: now, packetAt: now, paused: true, allServices: rt == nil}
+	if earlier != nil {
+		s.Search = earlier.Renew(r.possibleHolders(rt, s.allServices), now)
+	} else {
+		s.Search = seek.New(r.possibleHolders(rt, s.allServices), now)
+	}
 	if rt != nil {
 		s.route, s.service = rt.Name, route.ServiceID(rt.Targets[0].Service)
 	}
@@ -166,18 +185,9 @@
 	case seek.Forward:
 		r.handleFound(key, s, step.Agents[0], now)
 	case seek.Probe:
-		if s.unattended || !r.allowProbes(s, len(step.Agents), now) {
-			s.CancelProbe(step.Agents)
-			r.pauseSearch(key, s, "probes left out", now)
-			return
-		}
-		r.counters.Add("tried", int64(len(step.Agents)))
-		r.opts.FlowLog.Info("probing servers that may hold the flow", zap.Stringer("flow", key), zap.Int("servers", len(step.Agents)),
-			zap.Duration("after", now.Sub(s.startedAt)), zap.String("answers", s.Trace()))
-		for _, agent := range step.Agents {
-			r.send(encap.Header{Kind: encap.Probe, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, s.packets[0], agent)
-		}
-		r.scheduleStep(key, s)
+		r.probe(key, s, step.Agents, now)
+	case seek.ProbeMore:
+		r.probeMore(key, s, step.Agents[0], now)
 	case seek.Lost:
 		if !s.allServices {
 			r.searchAllServices(key, s, now)
@@ -189,15 +199,6 @@
 	}
 }
 
-// allowProbes reports whether the packet of a search may be sent to a number of agents.
-func (r *Relay) allowProbes(s *search, agents int, now time.Time) bool {
-	if r.limits.allowProbes(s.packets[0], agents, now) {
-		return true
-	}
-	r.counters.Add("probe_left_out", 1)
-	return false
-}
-
 // searchAllServices extends a search to the agents of all services, since an earlier configuration may have routed the
 // flow to any of them.
 func (r *Relay) searchAllServices(key flow.Key, s *search, now time.Time) {
@@ -238,9 +239,10 @@
 		r.removeSearch(key, s)
 		return
 	}
-	s.packets, s.paused = nil, true
+	s.packets, s.probed, s.paused = nil, 0, true
 	if !s.unattended {
 		s.pausedAt = now
+		r.queryUnasked(key, s, now)
 	}
 	r.scheduleResume(key, s)
 }
@@ -278,7 +280,7 @@
 	r.opts.FlowLog.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.startedAt)),
 		zap.Stringer("by", s.SourceOf(agent)))
 	r.counters.Add("found", 1)
-	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now}, now)
+	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now, numbers: s.numbers}, now)
 	for _, b := range s.packets {
 		r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, b, agent)
 	}
@@ -288,8 +290,8 @@
 // handleLost resets a flow that no agent holds, so that its client can reconnect at once. Nothing is reset while some
 // agents may be unknown; the search then goes on later.
 func (r *Relay) handleLost(key flow.Key, s *search, now time.Time) {
-	if f := r.flows.Peek(key); f != nil && f.openedAt.After(s.startedAt) {
-		r.removeSearch(key, s) // The client has opened a new flow from the same port.
+	if r.usedAgain(key, s) {
+		r.removeSearch(key, s)
 		return
 	}
 	r.flows.Delete(key)
@@ -308,144 +310,28 @@
 	r.removeSearch(key, s)
 }
 
-// removeSearch ends a search. Packets that are still queued are dropped.
-func (r *Relay) removeSearch(key flow.Key, s *search) {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-	delete(r.searches, key)
-}
-
-// handleDatagram dispatches a datagram from an agent.
-func (r *Relay) handleDatagram(from netip.AddrPort, b []byte) {
-	r.meter.RecordReceived(b)
-	header, body, err := encap.Parse(b)
-	if err != nil {
-		r.counters.Add("hop_damaged", 1)
-		return
-	}
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch header.Kind {
-	case encap.QueryReply:
-		r.handleQueryReply(from, header.Verdict, body, now)
-	case encap.Claim:
-		r.handleClaim(from, header.Service, body, now)
-	case encap.ListReply:
-		r.handleListReply(from, header, body, now)
-	case encap.Return:
-		r.handleReturn(from, header.Verdict, b, body, now)
-	default:
-		r.counters.Add("hop_unexpected", 1)
-	}
-}
-
-// handleQueryReply records an agent's verdict on a single flow.
-func (r *Relay) handleQueryReply(agent netip.AddrPort, verdict seek.Verdict, body []byte, now time.Time) {
-	key, ok := encap.ParseKey(body)
-	s := r.searches[key]
-	if !ok || s == nil {
-		return
-	}
-	s.RecordVerdict(agent, verdict, seek.Reply)
-	r.advance(key, s, now)
-}
-
-// handleClaim records that an agent holds a flow.
-func (r *Relay) handleClaim(agent netip.AddrPort, service uint64, body []byte, now time.Time) {
-	key, ok := encap.ParseKey(body)
-	if !ok {
-		return
-	}
-	if s := r.searches[key]; s != nil {
-		s.RecordVerdict(agent, seek.Held, seek.Claimed)
-		r.advance(key, s, now)
+// usedAgain reports whether the client has opened, is opening or is using another flow with the key through this entry, so that a reset of the
+// flow that is searched for would meet it.
+func (r *Relay) usedAgain(key flow.Key, s *search) bool {
+	if r.held[key] != nil {
+		return true
 	}
-	switch f := r.flows.Get(key, now); {
+	f := r.flows.Peek(key)
+	switch {
 	case f == nil:
-	case f.agent != agent && !f.openSince.IsZero() && !r.opts.Cluster.Dead(f.agent):
-		// The client's later packets went to another agent, which hasn't returned them: the claim is late, or of a server that the
-		// client didn't choose.
-		r.counters.Add("move_ignored", 1)
-	default:
-		r.logMoved(key, f, agent, "claim", now)
-		f.agent, f.service, f.claimed = agent, service, true
-	}
-	delete(r.held, key)
-	r.counters.Add("claimed", 1)
-}
-
-// logMoved logs that an agent's message is about to change the agent of a flow in the table.
-func (r *Relay) logMoved(key flow.Key, f *flowState, to netip.AddrPort, by string, now time.Time) {
-	if f.agent == to {
-		return
-	}
-	fields := []zap.Field{
-		zap.Stringer("flow", key), zap.Stringer("from", f.agent), zap.Stringer("to", to), zap.String("by", by), zap.Bool("claimed", f.claimed),
-	}
-	if !f.openedAt.IsZero() {
-		fields = append(fields, zap.Duration("placed", now.Sub(f.openedAt)))
-	}
-	if !f.openSince.IsZero() {
-		fields = append(fields, zap.Duration("open", now.Sub(f.openSince)))
-	}
-	r.opts.FlowLog.Info("flow moved to another agent", fields...)
-}
-
-// handleReturn searches for the holder of a packet that an agent returned because it doesn't hold the flow. sameKey is the agent's verdict
-// on a flow with the same key, if it knows one.
-func (r *Relay) handleReturn(agent netip.AddrPort, sameKey seek.Verdict, b, body []byte, now time.Time) {
-	h, ok := r.opts.Codec.Parse(body)
-	if !ok {
-		r.counters.Add("hop_damaged", 1)
-		return
-	}
-	key := h.KeyFromClient()
-	if h.Opens() {
-		r.handleRefusedOpen(agent, key, h, b, now)
-		return
-	}
-	r.counters.Add("returned", 1)
-	r.opts.FlowLog.Info("packet returned by an agent", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Int("len", h.Len), zap.Bool("fin", h.Fin))
-	s := r.activeSearch(key, now)
-	if s == nil && r.forwardToHolder(agent, key, b) {
-		return
-	}
-	if f := r.flows.Peek(key); f != nil && (f.agent == agent || s == nil) {
-		r.flows.Delete(key)
-	}
-	if s != nil {
-		s.RecordReturn(agent, sameKey)
-		r.advance(key, s, now)
-		return
-	}
-	rt := r.opts.Cluster.Table().Lookup(h.Dst)
-	if rt == nil {
-		return
-	}
-	r.findHolder(key, h, rt, b, now)
-	if s := r.searches[key]; s != nil {
-		s.RecordReturn(agent, sameKey)
-	}
-}
-
-// activeSearch returns the search for a flow, or nil if there is none whose verdicts may still be used.
-func (r *Relay) activeSearch(key flow.Key, now time.Time) *search {
-	s := r.searches[key]
-	if s == nil || s.expired(now) {
-		return nil
+		return false
+	case f.openedAt.After(s.startedAt):
+		return true
+	case f.mayContain(s.packetHeader):
+		return false
 	}
-	return s
+	return s.startedAt.Sub(f.openedAt) < maxOpeningTime || r.flows.UsedSince(key, s.packetAt)
 }
 
-// forwardToHolder forwards a packet that an agent returned if the flow has been found at another agent since the packet was sent. It reports
-// whether it did so.
-func (r *Relay) forwardToHolder(agent netip.AddrPort, key flow.Key, b []byte) bool {
-	f := r.flows.Peek(key)
-	if f == nil || f.agent == agent || r.opts.Cluster.Dead(f.agent) {
-		return false
+// removeSearch ends a search. Packets that are still queued are dropped.
+func (r *Relay) removeSearch(key flow.Key, s *search) {
+	if s.timer != nil {
+		s.timer.Stop()
 	}
-	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: f.service, Entry: r.opts.Self}, b, f.agent)
-	return true
+	delete(r.searches, key)
 }
