memb: take the agents for all only with evidence

Some seconds before, the store had taken away the keys of both old entries and of one agent.

Cause: 1 s after its start a process took the agents that it knew for all. That rested on what was missing from the directory. Agents, which were listed and know the entries, weren't asked.

Fix: the new pure package settle decides, and an entry takes the agents that it knows for all only if an entry that is settled has sent its whole list (in numbered parts, so that a lost datagram is noticed), if all processes that it hears, an agent among them, have just started, or if it has read the directory 20 s after its start, when all that run are listed again (they read it each 15 s). Heartbeats with the record tell the uptime, by the steady clock. Starting entries ask agents, too, and go on asking each second until they are settled. A start of everything settles after 1 s, as before, as does an entry that starts beside others. If all entries fail and some agents don't, lost flows are reset after up to 20 s; before, after 1 s.

Changed tests: TestAgentsAreNotAllKnownRightAfterStart and the stand-ins of agents in internal/relay/silence_test.go tell their uptime, as processes do; TestWithdrawnAgentIsNotAwaited marks its node as settled, since an unsettled one reads the directory again for another reason. BenchmarkSlopePulse: a heartbeat with the record takes 117 bytes (107 before).

--- a/internal/ctrl/ctrl_test.go
+++ b/internal/ctrl/ctrl_test.go
@@ -197,7 +197,7 @@
 	for b.Loop() {
 		_ = size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2})
 	}
-	b.ReportMetric(size(KindState, State{Record: record, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2}), "B/state")
+	b.ReportMetric(size(KindState, State{Record: record, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2, Uptime: time.Hour}), "B/state")
 	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation, Server: load, ConfigVersion: 70, ConfigAge: time.Second, StoreEra: 2}), "B/pulse")
 	b.ReportMetric(size(KindCompactState, CompactState{Packets: record.Packets, Incarnation: record.Incarnation}), "B/alive")
 }
--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -33,10 +33,12 @@
 	RequestPeers bool `cbor:"5,keyasint,omitempty"`
 	// StoreEra is the store's era as far as the sender knows, or 0. It rises when the store has lost its latest changes.
 	StoreEra uint64 `cbor:"6,keyasint,omitempty"`
+	// Uptime is the time since the sender's start; 0 if the sender doesn't tell.
+	Uptime time.Duration `cbor:"7,keyasint,omitempty"`
 }
 
 // CompactState is a heartbeat to a process that already has the sender's record. For the record of
-// BenchmarkSlopePulse it takes 29 bytes, or 71 with the server's load, the configuration version and the era, and a State 107.
+// BenchmarkSlopePulse it takes 29 bytes, or 71 with the server's load, the configuration version and the era, and a State 117.
 type CompactState struct {
 	// Packets and Incarnation identify the sender's record.
 	Packets     netip.AddrPort `cbor:"1,keyasint"`
@@ -69,6 +71,11 @@
 // PeerRecords carries records of other processes.
 type PeerRecords struct {
 	Records []view.Record `cbor:"1,keyasint"`
+	// List, Index and Count are set if the message is a part of the sender's whole list of processes, and the sender knows all agents: the
+	// list's number, the part's index and the number of parts.
+	List  uint32 `cbor:"2,keyasint,omitempty"`
+	Index uint8  `cbor:"3,keyasint,omitempty"`
+	Count uint8  `cbor:"4,keyasint,omitempty"`
 }
 
 // MaxPeerRecords is the number of records that fit into one PeerRecords datagram.
--- a/internal/memb/agents.go
+++ b/internal/memb/agents.go
@@ -123,18 +123,6 @@
 	return p == nil || n.isDead(agent, p, time.Now())
 }
 
-// AllAgentsKnown reports whether this process knows all agents and receives heartbeats from most processes, so that a flow
-// that no known agent holds is held by none. Right after its start a process knows only some of the agents.
-func (n *Node) AllAgentsKnown() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	uptime := time.Since(n.startedAt)
-	if uptime < discoveryTime || (n.directoryRead.IsZero() && uptime < gossipDiscoveryTime) {
-		return false
-	}
-	return n.hearsMost()
-}
-
 // hearsMost reports whether heartbeats are received from more than half of the other processes that have not said that they are
 // gone. The caller holds the lock.
 func (n *Node) hearsMost() bool {
@@ -151,14 +139,6 @@
 	return total > 0 && silent*2 < total
 }
 
-const (
-	// discoveryTime is how long after its start a process has received heartbeats from all processes that know it or are
-	// listed in the directory: five heartbeat intervals of agents.
-	discoveryTime = time.Second
-	// gossipDiscoveryTime applies if the directory wasn't read: a few gossip exchanges spread the records of all processes.
-	gossipDiscoveryTime = 6 * time.Second
-)
-
 // AcceptsNewFlows reports whether any agent that sends heartbeats has a backend server that accepts new flows.
 func (n *Node) AcceptsNewFlows() bool {
 	n.mu.Lock()
--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -84,7 +84,7 @@
 // syncDirectory renews the process's lease, merges the records in the directory and registers the process if it isn't listed.
 func (n *Node) syncDirectory(ctx context.Context, registered bool) error {
 	n.mu.Lock()
-	self := n.self
+	self, settled := n.self, n.isSettled(time.Now())
 	n.mu.Unlock()
 	if registered {
 		if err := n.opts.Directory.KeepAlive(ctx); err != nil {
@@ -96,7 +96,7 @@
 			return err
 		}
 	}
-	stale := registered && !n.rereadDue(time.Now())
+	stale := registered && settled && !n.rereadDue(time.Now())
 	listings, err := n.opts.Directory.List(ctx, stale)
 	if err != nil {
 		n.mergeRecords(confirmedRecords(listings))
@@ -173,11 +173,11 @@
 	n.forgetPeer(r.Packets, now)
 }
 
-// rereadDue reports whether the directory must be read again since it had unconfirmed records.
+// rereadDue reports whether the directory must be read again since it had unconfirmed records, or processes may have been missing.
 func (n *Node) rereadDue(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.rereadAt.IsZero() && now.After(n.rereadAt)
+	return !n.rereadAt.IsZero() && now.After(n.rereadAt) || n.settleReadDue(now)
 }
 
 // recordDirectoryRead records which processes the directory listed at now.
--- a/internal/memb/heartbeat.go
+++ b/internal/memb/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -92,7 +93,7 @@
 
 // state returns the node's state without the load of its backend server. The caller holds the lock.
 func (n *Node) state() ctrl.State {
-	state := ctrl.State{Record: n.self, StoreEra: n.opts.Directory.Era()}
+	state := ctrl.State{Record: n.self, StoreEra: n.opts.Directory.Era(), Uptime: max(time.Since(n.startedAt), time.Millisecond)}
 	if n.table != nil {
 		state.ConfigVersion, state.ConfigAge = n.table.Version, n.freshness.Age(n.ageClock())
 	}
--- a/internal/memb/memb_test.go
+++ b/internal/memb/memb_test.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fleet"
 	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/settle"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -127,16 +128,17 @@
 func TestAgentsAreNotAllKnownRightAfterStart(t *testing.T) {
 	is := is.New(t)
 	n := newNode(t, new(memoryDirectory))
-	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Server: &ctrl.ServerLoad{Ready: true}})
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Server: &ctrl.ServerLoad{Ready: true}, Uptime: time.Millisecond})
 	is.True(n.AcceptsNewFlows())
 	is.True(!n.AllAgentsKnown())
-	n.startedAt = time.Now().Add(-2 * discoveryTime)
+	n.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
 	is.True(!n.AllAgentsKnown()) // The directory has not been read.
-	is.NoErr(n.syncDirectory(context.Background(), false))
-	is.True(n.AllAgentsKnown())
 	n.startedAt = time.Now()
+	is.NoErr(n.syncDirectory(context.Background(), false))
 	is.True(!n.AllAgentsKnown())
-	n.directoryRead, n.startedAt = time.Time{}, time.Now().Add(-2*gossipDiscoveryTime)
+	n.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	is.True(n.AllAgentsKnown())
+	n.settled, n.directoryRead, n.startedAt = false, time.Time{}, time.Now().Add(-2*settle.GossipTime)
 	is.True(n.AllAgentsKnown()) // Gossip has spread the records of all agents by now.
 }
 
@@ -299,6 +301,7 @@
 	d := new(memoryDirectory)
 	d.era.Store(2)
 	n := newNode(t, d)
+	n.settled = true // Otherwise the directory is also read again for that.
 	d.records = []view.Listing{{Record: agentRecord("desk"), Unconfirmed: true}}
 	holders := func() int { return len(n.PossibleHolders([]uint64{route.ServiceID("desk")})) }
 	is.NoErr(n.syncDirectory(context.Background(), false))
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -21,6 +21,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fresh"
 	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/settle"
 	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
@@ -153,6 +154,12 @@
 	sentRecord      view.Record
 	// announcementsLeft is how often the announcement of the node's stop is still to be repeated.
 	announcementsLeft int
+	// settled is set once there was evidence that this process knows all agents. listReceived is set once a settled process has sent its
+	// list, of which lists has the parts; listsSent counts those that this process sent. peersAsked is when peers were last sent a hello.
+	settled, listReceived bool
+	lists                 settle.Lists
+	listsSent             uint32
+	peersAsked            time.Time
 	// heartbeatRequested makes sendRequestedHeartbeats send heartbeats; readRequested makes pollTable read the store.
 	heartbeatRequested chan struct{}
 	readRequested      chan struct{}
@@ -178,6 +185,8 @@
 	stopAnnounced time.Time
 	// listedAt is when the directory was last read with the process in it.
 	listedAt time.Time
+	// startedAt is when the process started, by its uptime; the zero time if it isn't known.
+	startedAt time.Time
 }
 
 // New returns a node that knows only itself, and registers its handlers and metrics.
@@ -473,6 +482,9 @@
 	if state.Record.State == view.Draining || state.Record.State == view.Gone {
 		p.stopAnnounced = now
 	}
+	if state.Uptime > 0 {
+		p.startedAt = now.Add(-state.Uptime)
+	}
 	if state.Server != nil {
 		p.load, p.loadReceived, p.newFlows = *state.Server, now, 0
 	}
@@ -523,6 +535,7 @@
 		}
 	}
 	n.mergeRecords(msg.Records)
+	n.recordListPart(from, settle.Part{List: msg.List, Index: msg.Index, Count: msg.Count})
 	n.sendGone(from, running)
 }
 
@@ -576,15 +589,17 @@
 	}
 }
 
-// maxHelloPeers is how many of the entries that a starting process learns of at once get a hello.
+// maxHelloPeers is how many of the entries, and of the agents, that a starting process learns of at once get a hello.
 const maxHelloPeers = 3
 
-// greetPeers sends the node's state to processes that are new to it. While this process is starting, some entries among them get a hello:
-// the directory may lack processes whose leases have ended, and the seeds may be gone.
+// greetPeers sends the node's state to processes that are new to it. While this process is starting, some of them get a hello: the directory
+// may lack processes whose leases have ended, and the seeds may be gone. Agents know the entries.
 func (n *Node) greetPeers(state ctrl.State, peers []view.Record, starting bool) {
 	var helloTo, stateTo []netip.AddrPort
+	asked := make(map[view.Role]int)
 	for _, r := range peers {
-		if starting && r.Role == view.Entry && len(helloTo) < maxHelloPeers {
+		if starting && asked[r.Role] < maxHelloPeers {
+			asked[r.Role]++
 			helloTo = append(helloTo, r.Control)
 			continue
 		}
--- /dev/null
+++ b/internal/memb/settle_test.go
@@ -0,0 +1,112 @@
+package memb
+
+import (
+	"context"
+	"math"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
+	"github.com/bergamotrun/bergamotrun/internal/fleet"
+	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/settle"
+	"github.com/bergamotrun/bergamotrun/internal/view"
+)
+
+// holding is a deployment whose directory has lost the keys of its entry and of the agent at otherAddr. It lists another agent.
+type holding struct {
+	entry, listed, added *Node
+}
+
+// newHolding returns a deployment that has run for an hour, and an entry that is added with no seeds.
+func newHolding(t *testing.T) *holding {
+	t.Helper()
+	anHourAgo := time.Now().Add(-time.Hour)
+	h := &holding{
+		entry:  newEntry(t, netip.MustParseAddrPort("127.0.3.1:1"), new(memoryDirectory)),
+		listed: newEntry(t, netip.MustParseAddrPort("127.0.3.2:1"), new(memoryDirectory)),
+	}
+	h.entry.startedAt, h.entry.directoryRead = anHourAgo, time.Now()
+	h.listed.startedAt = anHourAgo
+	h.listed.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+	h.listed.self.Role, h.listed.self.Service = view.Agent, ServiceNumber(route.ServiceID("desk"))
+	h.added = newEntry(t, netip.MustParseAddrPort("127.0.3.3:1"), &memoryDirectory{records: []view.Listing{{Record: h.listed.self}}})
+	for _, n := range []*Node{h.entry, h.listed, h.added} {
+		go func() { _ = n.opts.Link.Serve() }() // Ends when the link is closed.
+	}
+	h.entry.onState(otherAddr, ctrl.State{Record: agentRecord("desk")})
+	h.entry.onState(h.listed.self.Control, ctrl.State{Record: h.listed.self})
+	h.listed.onState(h.entry.self.Control, ctrl.State{Record: h.entry.self})
+	return h
+}
+
+// resetsUnlisted drives the deployment for a time, and reports whether the added entry takes the agents that it knows for all while it
+// lacks the one that isn't listed.
+func (h *holding) resetsUnlisted(duration time.Duration, running ...*Node) bool {
+	for deadline := time.Now().Add(duration); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		for _, n := range running {
+			n.tick()
+		}
+		if h.added.AllAgentsKnown() && len(h.added.PossibleHolders([]uint64{route.ServiceID("desk")})) < 2 {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against resets of open flows by an added entry that takes the agents in the directory for all: the store has taken away the keys
+// of all other entries and of some agents, and the seeds are stale. The listed agents know the entries.
+func TestAddedEntryLearnsOfAgentThatIsNotListed(t *testing.T) {
+	is := is.New(t)
+	h := newHolding(t)
+	h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	is.NoErr(h.added.syncDirectory(context.Background(), false))
+	is.True(!h.resetsUnlisted(testPeriod, h.entry, h.listed, h.added))
+	is.True(h.added.AllAgentsKnown()) // The entry that isn't listed has told.
+}
+
+// Guards against the same while no other entry can be reached: nothing shows that the listed agents are all, as they have run for long.
+func TestAddedEntryWithoutPeersAwaitsUnlistedAgents(t *testing.T) {
+	is := is.New(t)
+	h := newHolding(t)
+	is.NoErr(h.entry.opts.Link.Close())
+	h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	is.NoErr(h.added.syncDirectory(context.Background(), false))
+	is.True(!h.resetsUnlisted(testPeriod, h.listed, h.added))
+}
+
+// Guards against parts of a list that exceed a datagram and are never sent.
+func TestListPartsFitIntoDatagrams(t *testing.T) {
+	is := is.New(t)
+	secret, err := fleet.SecretFromText("a secret for tests only")
+	is.NoErr(err)
+	r := agentRecord("desk")
+	r.Packets, r.Domain, r.Incarnation = netip.MustParseAddrPort("255.255.255.255:65535"), "a-long-failure-domain", math.MaxInt64
+	r.Control, r.Service, r.Epoch, r.Weight = r.Packets, math.MaxUint32, math.MaxInt32, math.MaxUint16
+	msg := ctrl.PeerRecords{List: math.MaxUint32, Index: settle.MaxParts - 1, Count: settle.MaxParts}
+	for range ctrl.MaxPeerRecords {
+		msg.Records = append(msg.Records, r)
+	}
+	_, err = ctrl.Encode(ctrl.NewCodec(secret), ctrl.KindPeerRecords, msg)
+	is.NoErr(err)
+	is.True(maxListRecords <= settle.MaxParts*ctrl.MaxPeerRecords)
+	is.True(settle.RelistTime > directoryReadInterval+directoryRetryInterval)
+}
+
+// Guards against flows of failed agents that aren't reset for long since no process can tell that it knows all agents: the directory is
+// then read at a time by which all that run are listed again.
+func TestDirectoryIsReadAgainUntilSettled(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Uptime: time.Hour})
+	n.startedAt = time.Now().Add(-settle.RelistTime)
+	n.recordDirectoryRead(nil, time.Now().Add(-time.Second))
+	is.True(!n.AllAgentsKnown())
+	is.True(n.rereadDue(time.Now()))
+	is.NoErr(n.syncDirectory(context.Background(), true))
+	is.True(n.AllAgentsKnown())
+	is.True(!n.rereadDue(time.Now()))
+}
--- a/internal/memb/table.go
+++ b/internal/memb/table.go
@@ -242,6 +242,7 @@
 	var last time.Time
 	return timer.Every(ctx, startupGossipInterval, func() {
 		now := time.Now()
+		n.askPeers(now)
 		if now.Sub(n.startedAt) > startupPeriod && now.Sub(last) < gossipInterval {
 			return
 		}
@@ -279,15 +280,6 @@
 	return records
 }
 
-const (
-	// helloReplyInterval is the shortest time between two replies to a process's hello, which processes repeat after their
-	// start since datagrams can be lost.
-	helloReplyInterval = time.Second
-	// maxHelloRecords is the largest number of records in a reply: ten datagrams, so that a process to which many send a
-	// hello at once isn't overloaded. Gossip and the directory provide the rest.
-	maxHelloRecords = 10 * ctrl.MaxPeerRecords
-)
-
 // mayRun reports whether a process may be running, or come back: an agent may hold flows while it is silent or restarts as planned.
 func (p *peer) mayRun(r view.Record) bool {
 	if r.Role == view.Agent {
@@ -296,35 +288,14 @@
 	return r.State == view.Up && !p.silent
 }
 
-// replyToHello sends a process the records of processes that may run, or only those of entries if the requester is an agent.
-func (n *Node) replyToHello(to netip.AddrPort, requester view.Record) {
-	now := time.Now()
-	n.mu.Lock()
-	if p := n.peers[requester.Packets]; p != nil {
-		if now.Sub(p.lastHelloReply) < helloReplyInterval {
-			n.mu.Unlock()
-			return
-		}
-		p.lastHelloReply = now
-	}
-	records := []view.Record{n.self}
-	for a, p := range n.peers { // The order of map iteration is random.
-		r, ok := n.view.Get(a)
-		if ok && p.mayRun(r) && (requester.Role == view.Entry || r.Role == view.Entry) && len(records) < maxHelloRecords {
-			records = append(records, r)
-		}
-	}
-	n.mu.Unlock()
-	for len(records) > 0 {
-		count := min(len(records), ctrl.MaxPeerRecords)
-		n.sendRecords(to, records[:count])
-		records = records[count:]
-	}
-}
-
 // sendRecords sends records to a process in one datagram, which holds up to ctrl.MaxPeerRecords.
 func (n *Node) sendRecords(to netip.AddrPort, records []view.Record) {
-	if err := ctrl.Send(n.opts.Link, to, ctrl.KindPeerRecords, ctrl.PeerRecords{Records: records}); err != nil {
+	n.sendPeerRecords(to, ctrl.PeerRecords{Records: records})
+}
+
+// sendPeerRecords sends one datagram with records.
+func (n *Node) sendPeerRecords(to netip.AddrPort, msg ctrl.PeerRecords) {
+	if err := ctrl.Send(n.opts.Link, to, ctrl.KindPeerRecords, msg); err != nil {
 		n.opts.Log.Debug("records not sent", zap.Error(err))
 	}
 }
--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -134,7 +134,7 @@
 	}
 	for deadline := time.Now().Add(duration); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		for i, to := range [][]netip.AddrPort{firstAgentTo, all} {
-			state := ctrl.State{Record: d.agents[i], Server: &ctrl.ServerLoad{Ready: true, Slots: 4}}
+			state := ctrl.State{Record: d.agents[i], Server: &ctrl.ServerLoad{Ready: true, Slots: 4}, Uptime: time.Second}
 			d.NoErr(ctrl.Broadcast(d.agentLink, to, ctrl.KindState, state))
 		}
 	}
