memb: an entry that replaces one need not wait for the directory

After a failure of all entries, with agents that run on, no settled entry is left to send its list, and the agents show that not everything has started again: each entry would wait 20 s before it resets lost flows. But an agent that isn't listed knew the entries that failed, and sends heartbeats to their addresses for 30 s. An agent now tells, with its reply to a hello, if another process had run at the requester's address for 20 s, by which all agents knew it. Such an entry is settled 2 s after its start, if it hears no older entry.

With the rule left out: --- FAIL: TestReplacedEntryIsSettledByAgents/had_run_for_long --- FAIL: TestDecide/replaces_an_entry,_and_all_have_failed

--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -76,6 +76,8 @@
 	List  uint32 `cbor:"2,keyasint,omitempty"`
 	Index uint8  `cbor:"3,keyasint,omitempty"`
 	Count uint8  `cbor:"4,keyasint,omitempty"`
+	// Replaces is set in a reply to a hello if the sender knew another process at the receiver's address that had run for long.
+	Replaces bool `cbor:"5,keyasint,omitempty"`
 }
 
 // MaxPeerRecords is the number of records that fit into one PeerRecords datagram.
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -156,10 +156,11 @@
 	announcementsLeft int
 	// settled is set once there was evidence that this process knows all agents. listReceived is set once a settled process has sent its
 	// list, of which lists has the parts; listsSent counts those that this process sent. peersAsked is when peers were last sent a hello.
-	settled, listReceived bool
-	lists                 settle.Lists
-	listsSent             uint32
-	peersAsked            time.Time
+	// replaces is set if a process has told that another one had run at this one's address.
+	settled, listReceived, replaces bool
+	lists                           settle.Lists
+	listsSent                       uint32
+	peersAsked                      time.Time
 	// heartbeatRequested makes sendRequestedHeartbeats send heartbeats; readRequested makes pollTable read the store.
 	heartbeatRequested chan struct{}
 	readRequested      chan struct{}
@@ -185,8 +186,11 @@
 	stopAnnounced time.Time
 	// listedAt is when the directory was last read with the process in it.
 	listedAt time.Time
-	// startedAt is when the process started, by its uptime; the zero time if it isn't known.
+	// uptime is the process's uptime as it told last, startedAt when it started by that; 0 and the zero time if it didn't tell. replaces is
+	// set if another process had run at the address for settle.RelistTime.
+	uptime    time.Duration
 	startedAt time.Time
+	replaces  bool
 }
 
 // New returns a node that knows only itself, and registers its handlers and metrics.
@@ -482,9 +486,7 @@
 	if state.Record.State == view.Draining || state.Record.State == view.Gone {
 		p.stopAnnounced = now
 	}
-	if state.Uptime > 0 {
-		p.startedAt = now.Add(-state.Uptime)
-	}
+	p.recordUptime(state.Uptime, now)
 	if state.Server != nil {
 		p.load, p.loadReceived, p.newFlows = *state.Server, now, 0
 	}
@@ -505,7 +507,11 @@
 	}
 	p := n.peers[r.Packets]
 	if p == nil || restarted {
+		earlier := p
 		p = &peer{lastHeartbeat: now}
+		if earlier != nil {
+			p.uptime, p.replaces = earlier.uptime, earlier.replaces
+		}
 		n.peers[r.Packets] = p
 	}
 	return p
@@ -535,7 +541,7 @@
 		}
 	}
 	n.mergeRecords(msg.Records)
-	n.recordListPart(from, settle.Part{List: msg.List, Index: msg.Index, Count: msg.Count})
+	n.recordReply(from, &msg)
 	n.sendGone(from, running)
 }
 
--- a/internal/memb/settle.go
+++ b/internal/memb/settle.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -47,7 +48,7 @@
 // evidence returns what shows whether this process knows all agents. The caller holds the lock.
 func (n *Node) evidence(now time.Time) settle.Evidence {
 	e := settle.Evidence{
-		Uptime: now.Sub(n.startedAt), Read: !n.directoryRead.IsZero(), ReadAt: n.directoryRead.Sub(n.startedAt), ListReceived: n.listReceived,
+		Uptime: now.Sub(n.startedAt), Read: !n.directoryRead.IsZero(), ReadAt: n.directoryRead.Sub(n.startedAt), ListReceived: n.listReceived, Replaces: n.replaces,
 	}
 	for a, p := range n.peers {
 		r, ok := n.view.Get(a)
@@ -55,7 +56,8 @@
 			continue
 		}
 		e.HeardAgent = e.HeardAgent || r.Role == view.Agent && !p.silent
-		e.HeardOlder = e.HeardOlder || n.isOlder(p)
+		e.HeardOlderAgent = e.HeardOlderAgent || r.Role == view.Agent && n.isOlder(p)
+		e.HeardOlderEntry = e.HeardOlderEntry || r.Role == view.Entry && n.isOlder(p)
 	}
 	return e
 }
@@ -109,15 +111,25 @@
 	return append(entries[:min(len(entries), maxAskedPeers)], agents[:min(len(agents), maxAskedPeers)]...)
 }
 
-// recordListPart records the receipt of a part of the list of a settled process, whose records have been merged.
-func (n *Node) recordListPart(from netip.AddrPort, part settle.Part) {
+// recordReply records what a reply to a hello shows of the completeness of what this process knows. Its records have been merged.
+func (n *Node) recordReply(from netip.AddrPort, reply *ctrl.PeerRecords) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.lists.Record(from, part) {
+	n.replaces = n.replaces || reply.Replaces
+	if n.lists.Record(from, settle.Part{List: reply.List, Index: reply.Index, Count: reply.Count}) {
 		n.listReceived = true
 	}
 }
 
+// recordUptime records how long the process says that it has been running, at now. A lower time than before shows that it is another process.
+func (p *peer) recordUptime(uptime time.Duration, now time.Time) {
+	if uptime == 0 {
+		return
+	}
+	p.replaces = p.replaces || uptime < p.uptime && p.uptime >= settle.RelistTime
+	p.uptime, p.startedAt = uptime, now.Add(-uptime)
+}
+
 const (
 	// helloReplyInterval is the shortest time between two replies to a process's hello, which processes repeat after their
 	// start since datagrams can be lost.
@@ -133,26 +145,30 @@
 // process knows all agents, an entry gets the whole list.
 func (n *Node) replyToHello(to netip.AddrPort, requester view.Record) {
 	now := time.Now()
+	replaces := false
 	n.mu.Lock()
 	if p := n.peers[requester.Packets]; p != nil {
 		if now.Sub(p.lastHelloReply) < helloReplyInterval {
 			n.mu.Unlock()
 			return
 		}
-		p.lastHelloReply = now
+		p.lastHelloReply, replaces = now, p.replaces
 	}
 	records := n.runningProcesses(requester.Role)
 	whole := n.opts.Load == nil && requester.Role == view.Entry && len(records) <= maxListRecords && n.knowsAllAgents(now)
+	reply := ctrl.PeerRecords{Replaces: replaces}
 	if whole {
 		n.listsSent++
+		reply.List, reply.Count = n.listsSent, uint8((len(records)+ctrl.MaxPeerRecords-1)/ctrl.MaxPeerRecords)
+	} else {
+		records = records[:min(len(records), maxHelloRecords)]
 	}
-	list := n.listsSent
 	n.mu.Unlock()
-	if !whole {
-		n.sendRecordsInParts(to, records[:min(len(records), maxHelloRecords)], nil)
-		return
+	for part := range slices.Chunk(records, ctrl.MaxPeerRecords) {
+		reply.Records = part
+		n.sendPeerRecords(to, reply)
+		reply.Index++
 	}
-	n.sendRecordsInParts(to, records, &list)
 }
 
 // runningProcesses returns the records of this process and of the others that may run, or only of the entries among them for an agent. The
@@ -166,17 +182,3 @@
 	}
 	return records
 }
-
-// sendRecordsInParts sends records to a process in as many datagrams as they take. list is the number of the list if they are a whole one.
-func (n *Node) sendRecordsInParts(to netip.AddrPort, records []view.Record, list *uint32) {
-	count := uint8((len(records) + ctrl.MaxPeerRecords - 1) / ctrl.MaxPeerRecords)
-	for i := uint8(0); len(records) > 0; i++ {
-		size := min(len(records), ctrl.MaxPeerRecords)
-		msg := ctrl.PeerRecords{Records: records[:size]}
-		if list != nil {
-			msg.List, msg.Index, msg.Count = *list, i, count
-		}
-		n.sendPeerRecords(to, msg)
-		records = records[size:]
-	}
-}
--- a/internal/memb/settle_test.go
+++ b/internal/memb/settle_test.go
@@ -86,7 +86,7 @@
 	r := agentRecord("desk")
 	r.Packets, r.Domain, r.Incarnation = netip.MustParseAddrPort("255.255.255.255:65535"), "a-long-failure-domain", math.MaxInt64
 	r.Control, r.Service, r.Epoch, r.Weight = r.Packets, math.MaxUint32, math.MaxInt32, math.MaxUint16
-	msg := ctrl.PeerRecords{List: math.MaxUint32, Index: settle.MaxParts - 1, Count: settle.MaxParts}
+	msg := ctrl.PeerRecords{List: math.MaxUint32, Index: settle.MaxParts - 1, Count: settle.MaxParts, Replaces: true}
 	for range ctrl.MaxPeerRecords {
 		msg.Records = append(msg.Records, r)
 	}
@@ -110,3 +110,32 @@
 	is.True(n.AllAgentsKnown())
 	is.True(!n.rereadDue(time.Now()))
 }
+
+// Guards against flows of failed agents that wait for their reset for seconds after a restart of all entries alone. The agents still send
+// heartbeats to the entry's address, so that it hears of all; those of a process that had just started there may not all have known it.
+func TestReplacedEntryIsSettledByAgents(t *testing.T) {
+	for name, c := range map[string]struct {
+		uptime  time.Duration
+		settled bool
+	}{
+		"had run for long":    {time.Hour, true},
+		"had just started":    {settle.RelistTime / 2, false},
+		"wasn't known before": {0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHolding(t)
+			is.NoErr(h.entry.opts.Link.Close())
+			delete(h.listed.peers, h.entry.self.Packets)
+			earlier := h.added.self
+			h.added.self.Incarnation++
+			if c.uptime > 0 {
+				h.listed.onState(earlier.Control, ctrl.State{Record: earlier, Uptime: c.uptime})
+			}
+			h.added.startedAt = time.Now().Add(-settle.ReplacementTime)
+			is.NoErr(h.added.syncDirectory(context.Background(), false))
+			h.resetsUnlisted(testPeriod/3, h.listed, h.added)
+			is.Equal(h.added.AllAgentsKnown(), c.settled)
+		})
+	}
+}
--- a/internal/settle/settle.go
+++ b/internal/settle/settle.go
@@ -21,6 +21,9 @@
 	GossipTime = 6 * time.Second
 	// StartSpread is how far apart the starts of two processes may be that started together.
 	StartSpread = 4 * time.Second
+	// ReplacementTime is how long after its start a process has received a heartbeat with the record from all processes that knew the one
+	// before it at its address, also if one was lost.
+	ReplacementTime = 2 * DiscoveryTime
 	// RelistTime is how long after its start a process can rely on a read of the directory alone. It is longer than the interval at which
 	// processes check that they are listed, by the delay of stale reads and some failed calls.
 	RelistTime = 20 * time.Second
@@ -35,9 +38,11 @@
 	ReadAt time.Duration
 	// ListReceived is set once a process that is settled has sent its whole list.
 	ListReceived bool
-	// HeardAgent is set if an agent was heard, HeardOlder if a process was heard that has run for longer by more than StartSpread, or
-	// whose uptime isn't known.
-	HeardAgent, HeardOlder bool
+	// HeardAgent is set if an agent was heard, the others if an agent or an entry was heard that has run for longer by more than StartSpread,
+	// or whose uptime isn't known.
+	HeardAgent, HeardOlderAgent, HeardOlderEntry bool
+	// Replaces is set if an agent has told that another process had run at this one's address for RelistTime. All agents knew that one.
+	Replaces bool
 }
 
 // Reason is why a process is settled.
@@ -51,6 +56,8 @@
 	Told Reason = "list of another process"
 	// StartedTogether means that all processes that are heard have just started.
 	StartedTogether Reason = "start of all processes"
+	// Replacement means that no entry that was up before is heard, and that agents still send heartbeats to the process's address.
+	Replacement Reason = "heartbeats for an earlier process"
 	// Relisted means that every running process must be listed by now.
 	Relisted Reason = "directory"
 )
@@ -64,8 +71,19 @@
 		return Told
 	case e.Read && e.ReadAt >= RelistTime:
 		return Relisted
-	case e.HeardAgent && !e.HeardOlder && (e.Read || e.Uptime >= GossipTime):
+	case e.HeardAgent && !e.HeardOlderEntry:
+		return decideAmongNew(e)
+	}
+	return Unsettled
+}
+
+// decideAmongNew decides for a process that hears no entry that was up before it.
+func decideAmongNew(e Evidence) Reason {
+	switch {
+	case !e.HeardOlderAgent && (e.Read || e.Uptime >= GossipTime):
 		return StartedTogether
+	case e.Replaces && e.Read && e.Uptime >= ReplacementTime:
+		return Replacement
 	}
 	return Unsettled
 }
--- a/internal/settle/settle_test.go
+++ b/internal/settle/settle_test.go
@@ -17,15 +17,18 @@
 	}{
 		"nothing is known":                       {Evidence{Uptime: time.Hour}, Unsettled},
 		"right after the start":                  {Evidence{Uptime: DiscoveryTime - 1, ListReceived: true, Read: true, HeardAgent: true}, Unsettled},
-		"a settled process has sent its list":    {Evidence{Uptime: DiscoveryTime, ListReceived: true, HeardOlder: true}, Told},
+		"a settled process has sent its list":    {Evidence{Uptime: DiscoveryTime, ListReceived: true, HeardOlderAgent: true, HeardOlderEntry: true}, Told},
 		"all have started together":              {Evidence{Uptime: DiscoveryTime, Read: true, HeardAgent: true}, StartedTogether},
 		"only entries, which have just started":  {Evidence{Uptime: 5 * time.Second, Read: true}, Unsettled},
-		"added beside processes that have run":   {Evidence{Uptime: 15 * time.Second, Read: true, ReadAt: 14 * time.Second, HeardAgent: true, HeardOlder: true}, Unsettled},
-		"running processes are listed again":     {Evidence{Uptime: 21 * time.Second, Read: true, ReadAt: RelistTime, HeardAgent: true, HeardOlder: true}, Relisted},
-		"the read was before that":               {Evidence{Uptime: time.Minute, Read: true, ReadAt: RelistTime - 1, HeardOlder: true}, Unsettled},
+		"added beside processes that have run":   {Evidence{Uptime: 15 * time.Second, Read: true, ReadAt: 14 * time.Second, HeardAgent: true, HeardOlderAgent: true}, Unsettled},
+		"running processes are listed again":     {Evidence{Uptime: 21 * time.Second, Read: true, ReadAt: RelistTime, HeardAgent: true, HeardOlderAgent: true}, Relisted},
+		"the read was before that":               {Evidence{Uptime: time.Minute, Read: true, ReadAt: RelistTime - 1, HeardOlderAgent: true}, Unsettled},
 		"started together without the directory": {Evidence{Uptime: GossipTime, HeardAgent: true}, StartedTogether},
 		"and gossip hasn't spread yet":           {Evidence{Uptime: GossipTime - 1, HeardAgent: true}, Unsettled},
-		"added without the directory":            {Evidence{Uptime: time.Hour, HeardAgent: true, HeardOlder: true}, Unsettled},
+		"replaces an entry, and all have failed": {Evidence{Uptime: ReplacementTime, Read: true, HeardAgent: true, HeardOlderAgent: true, Replaces: true}, Replacement},
+		"heartbeats may have been lost":          {Evidence{Uptime: ReplacementTime - 1, Read: true, HeardAgent: true, HeardOlderAgent: true, Replaces: true}, Unsettled},
+		"another entry has not failed":           {Evidence{Uptime: ReplacementTime, Read: true, HeardAgent: true, HeardOlderEntry: true, Replaces: true}, Unsettled},
+		"added without the directory":            {Evidence{Uptime: time.Hour, HeardAgent: true, HeardOlderAgent: true}, Unsettled},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is.New(t).Equal(Decide(c.evidence), c.want)
