memb: tell processes that are heard that the directory doesn't list them

A process whose key the store has taken away noticed it at its next read of the directory, up to 15 s later. Meanwhile processes that start don't find it, and an entry among them misses the agents that join: it would later deny their flows, which others have opened. Now each process that reads the directory tells those that it hears and that aren't listed, and so does one that meets such a process after its read, as an added entry does. The one that is told reads the directory (not a stale copy) and registers again, at most once in 5 s. Processes that started less than 5 s before the read aren't told, since stale reads may lack them.

With the sending left out: settle_test.go:163: not true: told(h.entry) --- FAIL: TestProcessIsToldThatItIsNotListed (1.51s) settle_test.go:185: 0 != 1 --- FAIL: TestUnlistedProcessIsToldOnce (0.00s)

--- a/internal/ctrl/state.go
+++ b/internal/ctrl/state.go
@@ -78,6 +78,8 @@
 	Count uint8  `cbor:"4,keyasint,omitempty"`
 	// Replaces is set in a reply to a hello if the sender knew another process at the receiver's address that had run for long.
 	Replaces bool `cbor:"5,keyasint,omitempty"`
+	// Unlisted is set if the sender has read the directory and didn't find the receiver.
+	Unlisted bool `cbor:"6,keyasint,omitempty"`
 }
 
 // MaxPeerRecords is the number of records that fit into one PeerRecords datagram.
--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
@@ -180,14 +182,60 @@
 	return !n.rereadAt.IsZero() && now.After(n.rereadAt) || n.settleReadDue(now)
 }
 
-// recordDirectoryRead records which processes the directory listed at now.
+// recordDirectoryRead records which processes the directory listed at now, and tells those that are heard and aren't among them.
 func (n *Node) recordDirectoryRead(records []view.Record, now time.Time) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.directoryRead = now
 	for _, r := range records {
 		if p := n.peers[r.Packets]; p != nil {
 			p.listedAt = now
 		}
 	}
+	var unlisted []netip.AddrPort
+	for a, p := range n.peers {
+		if r, ok := n.view.Get(a); ok && n.isUnlisted(r, p) {
+			unlisted = append(unlisted, r.Control)
+		}
+	}
+	n.mu.Unlock()
+	n.sendUnlisted(unlisted)
+}
+
+// listingTime is how long after its start a process is listed, also in stale reads. A process that is told that it isn't reads the directory
+// at most that often.
+const listingTime = 5 * time.Second
+
+// isUnlisted reports whether a process that is heard should have been in the directory when it was last read, and wasn't. The caller holds
+// the lock.
+func (n *Node) isUnlisted(r view.Record, p *peer) bool {
+	return !n.directoryRead.IsZero() && p.contacted && !p.silent && r.State == view.Up && p.listedAt.Before(n.directoryRead) &&
+		!p.startedAt.IsZero() && n.directoryRead.Sub(p.startedAt) > listingTime
+}
+
+// updatePeer updates a peer with the content of a heartbeat. It returns the control address of the sender if that is to be told that the
+// directory doesn't list it: once when its uptime becomes known. The caller holds the lock.
+func (n *Node) updatePeer(p *peer, state *ctrl.State, now time.Time) (unlisted []netip.AddrPort) {
+	first := p.startedAt.IsZero()
+	p.update(state, now, n.opts.Log)
+	if r, ok := n.view.Get(state.Record.Packets); ok && first && n.isUnlisted(r, p) {
+		return []netip.AddrPort{state.Record.Control}
+	}
+	return nil
+}
+
+// sendUnlisted tells processes that the directory doesn't list them.
+func (n *Node) sendUnlisted(to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	if err := ctrl.Broadcast(n.opts.Link, to, ctrl.KindPeerRecords, ctrl.PeerRecords{Unlisted: true}); err != nil {
+		n.opts.Log.Debug("processes that aren't listed not told", zap.Error(err))
+	}
+}
+
+// checkListing makes this process read the directory, as another one didn't find it there. The caller holds the lock.
+func (n *Node) checkListing(now time.Time) {
+	if now.Sub(n.directoryRead) > listingTime && n.rereadAt.IsZero() {
+		n.rereadAt = now
+	}
 }
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -409,7 +409,7 @@
 		n.sendRecords(from, []view.Record{later}) // A process that started with a clock that is behind refutes it.
 		return
 	}
-	p.update(&state, now, n.opts.Log)
+	unlisted := n.updatePeer(p, &state, now)
 	newer := state.ConfigVersion > n.configVersion()
 	if age := n.ageClock(); !newer && state.ConfigVersion == n.configVersion() && state.ConfigVersion > 0 && !n.mayBeQueued(age) {
 		n.freshness.Confirm(state.ConfigVersion, age.Add(-state.ConfigAge), rand.Float64())
@@ -420,6 +420,7 @@
 	n.checkEra(state.StoreEra, now)
 	ownState := n.state()
 	n.mu.Unlock()
+	n.sendUnlisted(unlisted)
 	n.reportLoadIfNew(previous, p, ownState, state.Record.Control)
 	if fetch {
 		go n.fetch(from, state.ConfigVersion)
--- a/internal/memb/settle.go
+++ b/internal/memb/settle.go
@@ -111,10 +111,13 @@
 	return append(entries[:min(len(entries), maxAskedPeers)], agents[:min(len(agents), maxAskedPeers)]...)
 }
 
-// recordReply records what a reply to a hello shows of the completeness of what this process knows. Its records have been merged.
+// recordReply records what another process has told besides its records, which have been merged.
 func (n *Node) recordReply(from netip.AddrPort, reply *ctrl.PeerRecords) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if reply.Unlisted {
+		n.checkListing(time.Now())
+	}
 	n.replaces = n.replaces || reply.Replaces
 	if n.lists.Record(from, settle.Part{List: reply.List, Index: reply.Index, Count: reply.Count}) {
 		n.listReceived = true
--- a/internal/memb/settle_test.go
+++ b/internal/memb/settle_test.go
@@ -29,7 +29,7 @@
 		entry:  newEntry(t, netip.MustParseAddrPort("127.0.3.1:1"), new(memoryDirectory)),
 		listed: newEntry(t, netip.MustParseAddrPort("127.0.3.2:1"), new(memoryDirectory)),
 	}
-	h.entry.startedAt, h.entry.directoryRead = anHourAgo, time.Now()
+	h.entry.startedAt, h.entry.settled = anHourAgo, true
 	h.listed.startedAt = anHourAgo
 	h.listed.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
 	h.listed.self.Role, h.listed.self.Service = view.Agent, ServiceNumber(route.ServiceID("desk"))
@@ -139,3 +139,54 @@
 		})
 	}
 }
+
+// Guards against processes that nobody finds for up to 15 s, and that miss those that start meanwhile, as the store has taken away their
+// keys: they notice only with their next read of the directory. Other processes that read it tell them.
+func TestProcessIsToldThatItIsNotListed(t *testing.T) {
+	is := is.New(t)
+	h := newHolding(t)
+	h.entry.recordDirectoryRead([]view.Record{h.listed.self}, time.Now().Add(-directoryReadInterval/2))
+	h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	is.NoErr(h.added.syncDirectory(context.Background(), false))
+	told := func(n *Node) bool {
+		for deadline := time.Now().Add(testPeriod); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+			for _, n := range []*Node{h.entry, h.listed, h.added} {
+				n.tick()
+			}
+			if n.rereadDue(time.Now()) {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(told(h.entry))
+	is.True(!told(h.listed))
+	is.NoErr(h.entry.syncDirectory(context.Background(), true))
+	is.True(!told(h.entry)) // It is listed.
+	h.entry.directoryRead = time.Now().Add(-directoryReadInterval / 2)
+	is.NoErr(h.added.syncDirectory(context.Background(), true)) // A later read shows it, too.
+	is.True(told(h.entry))
+}
+
+// Guards against reads of the directory that follow each other without need: a process that started after a read isn't in it, and one that
+// has just read it knows whether it is listed.
+func TestUnlistedProcessIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	sent := func() int64 { return counterValue(n, "messages_out") }
+	n.settled, n.directoryRead = true, time.Now()
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Uptime: listingTime / 2})
+	is.Equal(sent(), int64(0))
+	n.recordDirectoryRead(nil, time.Now())
+	is.Equal(sent(), int64(0))
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Uptime: time.Hour})
+	n.recordDirectoryRead(nil, time.Now())
+	is.Equal(sent(), int64(1))
+	n.recordDirectoryRead([]view.Record{agentRecord("desk")}, time.Now())
+	is.Equal(sent(), int64(1))
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Unlisted: true})
+	is.True(!n.rereadDue(time.Now()))
+	n.directoryRead = time.Now().Add(-2 * listingTime)
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Unlisted: true})
+	is.True(n.rereadDue(time.Now()))
+}
