--- a/internal/memb/directory.go
+++ b/internal/memb/directory.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
@@ -84,7 +86,7 @@
 // syncDirectory renews the process's lease, merges the records in the directory and registers the process if it isn't listed.
 func (n *Node) syncDirectory(ctx context.Context, registered bool) error {
 	n.mu.Lock()
-	self := n.self
+	self, settled := n.self, n.isSettled(time.Now())
 	n.mu.Unlock()
 	if registered {
 		if err := n.opts.Directory.KeepAlive(ctx); err != nil {
@@ -96,7 +98,7 @@
 			return err
 		}
 	}
-	stale := registered && !n.rereadDue(time.Now())
+	stale := registered && settled && !n.rereadDue(time.Now())
 	listings, err := n.opts.Directory.List(ctx, stale)
 	if err != nil {
 		n.mergeRecords(confirmedRecords(listings))
@@ -173,21 +175,67 @@
 	n.forgetPeer(r.Packets, now)
 }
 
-// rereadDue reports whether the directory must be read again since it had unconfirmed records.
+// rereadDue reports whether the directory must be read again since it had unconfirmed records, or processes may have been missing.
 func (n *Node) rereadDue(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !n.rereadAt.IsZero() && now.After(n.rereadAt)
+	return !n.rereadAt.IsZero() && now.After(n.rereadAt) || n.settleReadDue(now)
 }
 
-// recordDirectoryRead records which processes the directory listed at now.
+// recordDirectoryRead records which processes the directory listed at now, and tells those that are heard and aren't among them.
 func (n *Node) recordDirectoryRead(records []view.Record, now time.Time) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.directoryRead = now
 	for _, r := range records {
 		if p := n.peers[r.Packets]; p != nil {
 			p.listedAt = now
 		}
 	}
+	var unlisted []netip.AddrPort
+	for a, p := range n.peers {
+		if r, ok := n.view.Get(a); ok && n.isUnlisted(r, p) {
+			unlisted = append(unlisted, r.Control)
+		}
+	}
+	n.mu.Unlock()
+	n.sendUnlisted(unlisted)
+}
+
+// listingTime is how long after its start a process is listed, also in stale reads. A process that is told that it isn't reads the directory
+// at most that often.
+const listingTime = 5 * time.Second
+
+// isUnlisted reports whether a process that is heard should have been in the directory when it was last read, and wasn't. The caller holds
+// the lock.
+func (n *Node) isUnlisted(r view.Record, p *peer) bool {
+	return !n.directoryRead.IsZero() && p.contacted && !p.silent && r.State == view.Up && p.listedAt.Before(n.directoryRead) &&
+		!p.startedAt.IsZero() && n.directoryRead.Sub(p.startedAt) > listingTime
+}
+
+// updatePeer updates a peer with the content of a heartbeat. It returns the control address of the sender if that is to be told that the
+// directory doesn't list it: once when its uptime becomes known. The caller holds the lock.
+func (n *Node) updatePeer(p *peer, state *ctrl.State, now time.Time) (unlisted []netip.AddrPort) {
+	first := p.startedAt.IsZero()
+	p.update(state, now, n.opts.Log)
+	if r, ok := n.view.Get(state.Record.Packets); ok && first && n.isUnlisted(r, p) {
+		return []netip.AddrPort{state.Record.Control}
+	}
+	return nil
+}
+
+// sendUnlisted tells processes that the directory doesn't list them.
+func (n *Node) sendUnlisted(to []netip.AddrPort) {
+	if len(to) == 0 {
+		return
+	}
+	if err := ctrl.Broadcast(n.opts.Link, to, ctrl.KindPeerRecords, ctrl.PeerRecords{Unlisted: true}); err != nil {
+		n.opts.Log.Debug("processes that aren't listed not told", zap.Error(err))
+	}
+}
+
+// checkListing makes this process read the directory, as another one didn't find it there. The caller holds the lock.
+func (n *Node) checkListing(now time.Time) {
+	if now.Sub(n.directoryRead) > listingTime && n.rereadAt.IsZero() {
+		n.rereadAt = now
+	}
 }
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -21,6 +21,7 @@
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/fresh"
 	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/settle"
 	"github.com/bergamotrun/bergamotrun/internal/timer"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
@@ -153,6 +154,13 @@
 	sentRecord      view.Record
 	// announcementsLeft is how often the announcement of the node's stop is still to be repeated.
 	announcementsLeft int
+	// settled is set once there was evidence that this process knows all agents. listReceived is set once a settled process has sent its
+	// list, of which lists has the parts; listsSent counts those that this process sent. peersAsked is when peers were last sent a hello.
+	// replaces is set if a process has told that another one had run at this one's address.
+	settled, listReceived, replaces bool
+	lists                           settle.Lists
+	listsSent                       uint32
+	peersAsked                      time.Time
 	// heartbeatRequested makes sendRequestedHeartbeats send heartbeats; readRequested makes pollTable read the store.
 	heartbeatRequested chan struct{}
 	readRequested      chan struct{}
@@ -178,6 +186,11 @@
 	stopAnnounced time.Time
 	// listedAt is when the directory was last read with the process in it.
 	listedAt time.Time
+	// uptime is the process's uptime as it told last, startedAt when it started by that; 0 and the zero time if it didn't tell. replaces is
+	// set if another process had run at the address for settle.RelistTime.
+	uptime    time.Duration
+	startedAt time.Time
+	replaces  bool
 }
 
 // New returns a node that knows only itself, and registers its handlers and metrics.
@@ -396,7 +409,7 @@
 		n.sendRecords(from, []view.Record{later}) // A process that started with a clock that is behind refutes it.
 		return
 	}
-	p.update(&state, now, n.opts.Log)
+	unlisted := n.updatePeer(p, &state, now)
 	newer := state.ConfigVersion > n.configVersion()
 	if age := n.ageClock(); !newer && state.ConfigVersion == n.configVersion() && state.ConfigVersion > 0 && !n.mayBeQueued(age) {
 		n.freshness.Confirm(state.ConfigVersion, age.Add(-state.ConfigAge), rand.Float64())
@@ -407,6 +420,7 @@
 	n.checkEra(state.StoreEra, now)
 	ownState := n.state()
 	n.mu.Unlock()
+	n.sendUnlisted(unlisted)
 	n.reportLoadIfNew(previous, p, ownState, state.Record.Control)
 	if fetch {
 		go n.fetch(from, state.ConfigVersion)
@@ -473,6 +487,7 @@
 	if state.Record.State == view.Draining || state.Record.State == view.Gone {
 		p.stopAnnounced = now
 	}
+	p.recordUptime(state.Uptime, now)
 	if state.Server != nil {
 		p.load, p.loadReceived, p.newFlows = *state.Server, now, 0
 	}
@@ -493,7 +508,11 @@
 	}
 	p := n.peers[r.Packets]
 	if p == nil || restarted {
+		earlier := p
 		p = &peer{lastHeartbeat: now}
+		if earlier != nil {
+			p.uptime, p.replaces = earlier.uptime, earlier.replaces
+		}
 		n.peers[r.Packets] = p
 	}
 	return p
@@ -523,6 +542,7 @@
 		}
 	}
 	n.mergeRecords(msg.Records)
+	n.recordReply(from, &msg)
 	n.sendGone(from, running)
 }
 
@@ -576,15 +596,17 @@
 	}
 }
 
-// maxHelloPeers is how many of the entries that a starting process learns of at once get a hello.
+// maxHelloPeers is how many of the entries, and of the agents, that a starting process learns of at once get a hello.
 const maxHelloPeers = 3
 
-// greetPeers sends the node's state to processes that are new to it. While this process is starting, some entries among them get a hello:
-// the directory may lack processes whose leases have ended, and the seeds may be gone.
+// greetPeers sends the node's state to processes that are new to it. While this process is starting, some of them get a hello: the directory
+// may lack processes whose leases have ended, and the seeds may be gone. Agents know the entries.
 func (n *Node) greetPeers(state ctrl.State, peers []view.Record, starting bool) {
 	var helloTo, stateTo []netip.AddrPort
+	asked := make(map[view.Role]int)
 	for _, r := range peers {
-		if starting && r.Role == view.Entry && len(helloTo) < maxHelloPeers {
+		if starting && asked[r.Role] < maxHelloPeers {
+			asked[r.Role]++
 			helloTo = append(helloTo, r.Control)
 			continue
 		}
