--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -79,17 +79,18 @@
 		d: d, client: c, service: services[(i+j)%len(services)], reuseFlow: kind != 1, safe: kind != 1, maxPause: maxPause,
 		rand: rand.New(rand.NewPCG(d.opts.Seed, uint64(i)<<32|uint64(j))),
 	}
+	longPause := maxLongPause
+	if d.opts.MaxPause > 0 {
+		longPause = d.opts.MaxPause
+	}
 	if kind > 1 {
-		u.maxPause = maxLongPause
-		if d.opts.MaxPause > 0 {
-			u.maxPause = d.opts.MaxPause
-		}
+		u.maxPause = longPause
 	}
 	switch {
 	case u.rand.Float64() < d.opts.Fresh:
 		u.reuseFlow, u.safe, u.patient, u.maxPause = false, true, true, maxPause
 	case u.rand.Float64() < d.opts.Aimed:
-		u.reuseFlow, u.safe, u.patient = true, true, true
+		u.reuseFlow, u.safe, u.patient, u.maxPause = true, true, true, longPause
 		u.reopen, u.times = u.rand.IntN(2) == 0, d.aimedTimes(u.rand)
 	}
 	return u
