relay: reset lost flows only for clients that wait for an answer

Callers saw resets of flows they had just opened: a client had used a port again, an entry searched for a late copy of the earlier flow's FIN or acknowledgement, all agents denied that one truly, and the reset met the next flow, which another entry had placed.

Without the change:

bare_packet_test.go:30: true != false --- FAIL: TestLateFinOfEarlierFlowIsNotAnsweredByReset/acknowledgement --- FAIL: TestLateFinOfEarlierFlowIsNotAnsweredByReset/FIN

--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -299,17 +299,21 @@
 		r.pauseSearch(key, s, "agents may be unknown", now)
 		return
 	}
-	r.opts.FlowLog.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", !s.packetHeader.Rst),
+	r.opts.FlowLog.Warn("flow is lost: no agent holds it", zap.Stringer("flow", key), zap.Bool("reset", s.awaitsAnswer()),
 		zap.Duration("took", now.Sub(s.startedAt)), zap.Bool("fin", s.packetHeader.Fin), zap.Int("len", s.packetHeader.Len),
 		zap.Duration("oldest_answer", s.OldestVerdict(now)), zap.Int("silent", s.Silent()), zap.String("answers", s.Trace()))
 	r.counters.Add("lost", 1)
-	if !s.packetHeader.Rst {
+	if s.awaitsAnswer() {
 		r.counters.Add("reset_lost", 1)
 		r.reset(s.packetHeader)
 	}
 	r.removeSearch(key, s)
 }
 
+// awaitsAnswer reports whether the client has sent data, whose answer a reset tells it not to wait for. One that only acknowledges or closes
+// waits for nothing, and the next flow from its port, perhaps through another entry, would get the reset.
+func (s *search) awaitsAnswer() bool { return s.packetHeader.Len > 0 && !s.packetHeader.Rst }
+
 // usedAgain reports whether the client has opened, is opening or is using another flow with the key through this entry, so that a reset of the
 // flow that is searched for would meet it.
 func (r *Relay) usedAgain(key flow.Key, s *search) bool {
