--- a/internal/soak/shape_test.go
+++ b/internal/soak/shape_test.go
@@ -74,7 +74,7 @@
 // After a loss of power servers run again, with new IDs or with those that they had, and hold nothing.
 func TestServersStartAgainAfterLossOfPower(t *testing.T) {
 	is := is.New(t)
-	d := newTestDeployment(t, 22)
+	d := newTestDeployment(t, 9)
 	for _, p := range d.Agents {
 		is.NoErr(d.StartServer(p))
 	}
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -69,7 +69,7 @@
 		reason: "18.5 s after a kill of all processes, entries reset open flows whose ports had flows in the agents' saved lists"},
 }
 
-// soakSlots are the slots of the cases. Tests of package soak use those between.
+// soakSlots are the slots of the cases, which no other test uses.
 var soakSlots = []int{39, 38, 37, 36, 35, 34, 33, 32, 21, 20, 22}
 
 // TestSoak fails if a run of the soak finds a violation.
