relay: a late packet doesn't take the place of a flow that the entry has just opened

A late packet of the earlier flow from a port, which had ended at another agent less than 2 s before, was searched for, and its agent put into the table: the packets of the open flow were then searched for, and the next late packet moved it again. A late packet that an agent returned went to the flow's agent, and removed the flow when that one returned it, too.

Before: numbers_test.go:231: query != forward --- FAIL: TestLatePacketKeepsPlacedFlow (0.18s) FAIL FAIL github.com/bergamotrun/bergamotrun/internal/relay 0.185s FAIL

--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -107,10 +107,12 @@
 		r.handleReturnInSearch(agent, sameKey, key, h, s, now)
 		return
 	}
-	if r.forwardToHolder(agent, key, b) {
+	if r.forwardToHolder(agent, key, h, b) {
 		return
 	}
-	r.flows.Delete(key)
+	if f := r.flows.Peek(key); f != nil && f.mayContain(h) {
+		r.flows.Delete(key)
+	}
 	rt := r.opts.Cluster.Table().Lookup(h.Dst)
 	if rt == nil {
 		return
@@ -146,9 +148,9 @@
 
 // forwardToHolder forwards a packet that an agent returned if the flow has been found at another agent since the packet was sent. It reports
 // whether it did so.
-func (r *Relay) forwardToHolder(agent netip.AddrPort, key flow.Key, b []byte) bool {
+func (r *Relay) forwardToHolder(agent netip.AddrPort, key flow.Key, h flow.Header, b []byte) bool {
 	f := r.flows.Peek(key)
-	if f == nil || f.agent == agent || r.opts.Cluster.Dead(f.agent) {
+	if f == nil || f.agent == agent || r.opts.Cluster.Dead(f.agent) || !f.mayContain(h) {
 		return false
 	}
 	r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: f.service, Entry: r.opts.Self}, b, f.agent)
--- a/internal/relay/numbers_test.go
+++ b/internal/relay/numbers_test.go
@@ -208,3 +208,26 @@
 	tr.relay.resumeUnattended(key, s)
 	tr.True(s.id != before)
 }
+
+// Guards against an open flow whose packets are searched for again and again: a late packet of the earlier flow from its port, which has just ended
+// at another agent, must not take its place in the table, nor remove it when it comes back.
+func TestLatePacketKeepsPlacedFlow(t *testing.T) {
+	for _, returned := range []bool{false, true} {
+		tr := newTestRelay(t)
+		tr.sendFromClient(1, flow.Header{Syn: true, Seq: 900_000})
+		tr.sendFromClient(2, packetOfEarlierFlow)
+		if returned {
+			tr.relay.removeSearch(key, tr.relay.searches[key])
+			tr.returnFromAgent(tr.agentB, 2)
+		}
+		tr.answer(seek.Denied, seek.Held)
+		if returned {
+			tr.Equal(tr.receiveForwards(tr.agentA), 0)
+		} else {
+			tr.Equal(tr.receiveForwards(tr.agentB), 1)
+		}
+		tr.drain()
+		tr.sendFromClient(3, flow.Header{Ack: true, Seq: 900_001, AckNumber: 70_000_000})
+		tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
+	}
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -280,7 +280,9 @@
 	r.opts.FlowLog.Info("flow found again", zap.Stringer("flow", key), zap.Stringer("agent", agent), zap.Duration("took", now.Sub(s.startedAt)),
 		zap.Stringer("by", s.SourceOf(agent)))
 	r.counters.Add("found", 1)
-	r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now, numbers: s.numbers}, now)
+	if f := r.flows.Peek(key); f == nil || !f.isLaterThan(s) || r.opts.Cluster.Dead(f.agent) {
+		r.flows.Put(key, flowState{agent: agent, service: s.service, route: s.route, openSince: now, numbers: s.numbers}, now)
+	}
 	for _, b := range s.packets {
 		r.send(encap.Header{Kind: encap.Forward, Version: configVersion(r.opts.Cluster.Table()), Service: s.service, Entry: r.opts.Self}, b, agent)
 	}
@@ -324,12 +326,15 @@
 	switch {
 	case f == nil:
 		return false
-	case f.openedAt.After(s.startedAt):
+	case f.openedAt.After(s.startedAt) || f.isLaterThan(s):
 		return true
-	case f.mayContain(s.packetHeader):
-		return false
 	}
-	return s.startedAt.Sub(f.openedAt) < maxOpeningTime || r.flows.UsedSince(key, s.packetAt)
+	return !f.mayContain(s.packetHeader) && r.flows.UsedSince(key, s.packetAt)
+}
+
+// isLaterThan reports whether this entry has just opened the flow, so that another one with the key that is searched for is an earlier one.
+func (f *flowState) isLaterThan(s *search) bool {
+	return !f.mayContain(s.packetHeader) && s.startedAt.Sub(f.openedAt) < maxOpeningTime
 }
 
 // removeSearch ends a search. Packets that are still queued are dropped.
