relay, seek: probe the server that an agent's list names before asking all agents

Agents will say Opening for flows of saved lists, so that lists no longer put them into the table of an entry after a restart of all processes: each open flow's first packet would wait for queries to all agents, and for their share of the link, or be dropped.

A list of the last 5 s that names the flow as Opening is now a hint, once in a search: its server gets the packet at once, as a probe, and the others are asked when the packet comes back, or with the client's next copy. The hint is not knowledge: the flow is in the table only after a claim.

--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -134,6 +134,10 @@
 		r.flows.Delete(key)
 	}
 	s.RecordReturn(agent, sameKey)
+	if rt := r.opts.Cluster.Table().Lookup(h.Dst); s.hinted && !s.paused && rt != nil {
+		r.resume(key, s, rt, now)
+		return
+	}
 	r.advance(key, s, now)
 }
 
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -22,7 +22,7 @@
 		switch {
 		case now.Sub(list.requestedAt) >= minListInterval:
 			r.listRequests++
-			*list = flowList{requestedAt: now, requestID: r.listRequests, keys: make(map[flow.Key]struct{})}
+			*list = *newFlowList(now, r.listRequests)
 			r.requestList(agent, list)
 			continue
 		case !list.complete && !list.requestedAt.Before(s.startedAt) && now.Sub(list.requestedAt) < listReplyTimeout:
@@ -78,7 +78,32 @@
 	// the lowest one of all parts.
 	exhaustive bool
 	version    uint64
-	keys       map[flow.Key]struct{}
+	// keys has all flows of the list, opening those that the server may well hold.
+	keys, opening map[flow.Key]struct{}
+}
+
+func newFlowList(now time.Time, requestID uint64) *flowList {
+	return &flowList{requestedAt: now, requestID: requestID, keys: make(map[flow.Key]struct{}), opening: make(map[flow.Key]struct{})}
+}
+
+// useHints records the agents whose latest list names the flow as one that their server may well hold. It reports whether there are any: their
+// servers are probed before other agents are asked. A list is such a hint only once in a search.
+func (r *Relay) useHints(key flow.Key, s *search, now time.Time) bool {
+	if s.unattended {
+		return false
+	}
+	hinted := false
+	for _, agent := range s.Unprobed() {
+		list := r.lists[agent]
+		if list == nil || now.Sub(list.requestedAt) > maxHintAge {
+			continue
+		}
+		if _, ok := list.opening[key]; ok {
+			s.RecordVerdict(agent, seek.Opening, seek.EarlierList)
+			hinted = true
+		}
+	}
+	return hinted
 }
 
 // denies reports whether the list proves that the agent doesn't hold a flow: it is complete and exhaustive, lacks the
@@ -106,6 +131,8 @@
 const (
 	// minListInterval is the minimum time between two list requests to the same agent.
 	minListInterval = 400 * time.Millisecond
+	// maxHintAge is the maximum age of a list that names a flow for a probe.
+	maxHintAge = 5 * time.Second
 	// listReplyTimeout is how long a list reply is awaited before the flow is queried on its own.
 	listReplyTimeout = 25 * time.Millisecond
 	// minListAge is the minimum age of the list of a dead agent at which it is removed: the agent may still reply to a request.
@@ -132,6 +159,9 @@
 	}
 	for _, key := range keys {
 		list.keys[key] = struct{}{}
+		if header.Verdict == seek.Opening {
+			list.opening[key] = struct{}{}
+		}
 		r.handleListedFlow(agent, key, header, now)
 	}
 	if list.complete {
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -58,6 +58,8 @@
 	// one; it then sends no packet to servers that may not hold the flow.
 	paused, unattended bool
 	pausedAt           time.Time
+	// hinted is set while only the agents that were named by earlier lists have been asked, by a probe.
+	hinted bool
 }
 
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
@@ -94,7 +96,9 @@
 func (r *Relay) resume(key flow.Key, s *search, rt *route.Route, now time.Time) {
 	s.paused = false
 	s.Update(r.possibleHolders(rt, s.allServices), now)
-	r.queryUnanswered(key, s, now)
+	if s.hinted = r.useHints(key, s, now); !s.hinted {
+		r.queryUnanswered(key, s, now)
+	}
 	r.step(key, s, now)
 }
 
--- a/internal/seek/probe.go
+++ b/internal/seek/probe.go
@@ -28,6 +28,17 @@
 	return Step{Action: Drop}
 }
 
+// hinted returns the agents whose earlier lists name the flow as one that their servers may well hold, and that haven't been probed.
+func (s *Search) hinted() []netip.AddrPort {
+	var agents []netip.AddrPort
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.verdict == Opening && c.source == EarlierList && c.firstProbedAt.IsZero() {
+			agents = append(agents, c.agent)
+		}
+	}
+	return agents
+}
+
 // awaitsBounce reports whether a server that was probed less than probeTimeout ago may still bounce the packet.
 func (s *Search) awaitsBounce(now time.Time) bool {
 	for i := range s.candidates {
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -181,6 +181,17 @@
 	return agents
 }
 
+// Unprobed returns the agents without a verdict that haven't been probed as they may well hold the flow.
+func (s *Search) Unprobed() []netip.AddrPort {
+	var agents []netip.AddrPort
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.verdict == 0 && c.firstProbedAt.IsZero() {
+			agents = append(agents, c.agent)
+		}
+	}
+	return agents
+}
+
 // Unanswered returns the agents without a verdict, which are to be queried.
 func (s *Search) Unanswered() []netip.AddrPort {
 	var agents []netip.AddrPort
@@ -254,14 +265,14 @@
 
 // Next returns the next step at now. It records the agents of a Probe step as probed.
 func (s *Search) Next(now time.Time) Step {
-	for i := range s.candidates {
-		if c := &s.candidates[i]; c.verdict != 0 && c.verdictAt.IsZero() {
-			c.verdictAt = now
-		}
-	}
+	s.markUsed(now)
 	if agent, ok := s.holder(); ok {
 		return Step{Action: Forward, Agents: []netip.AddrPort{agent}}
 	}
+	if hinted := s.hinted(); len(hinted) > 0 {
+		s.recordProbe(hinted, now)
+		return Step{Action: Probe, Agents: hinted}
+	}
 	unanswered := s.unansweredLive()
 	if unanswered > 0 && now.Sub(s.queriedAt) < replyTimeout {
 		return Step{Action: Wait}
@@ -283,6 +294,15 @@
 	return Step{Action: Lost}
 }
 
+// markUsed records that a step uses the verdicts that have come.
+func (s *Search) markUsed(now time.Time) {
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.verdict != 0 && c.verdictAt.IsZero() {
+			c.verdictAt = now
+		}
+	}
+}
+
 // holder returns the agent that holds the flow by its own verdict. A claim, which a packet of the flow has shown, goes before replies and lists,
 // which name only the key.
 func (s *Search) holder() (netip.AddrPort, bool) {
