memb: forget a silent agent only once its flows may be idle

What bounds a search that waits for it is lostTimeout: after 30 s without a heartbeat the agent is forgotten, and entries reset its flows, although its server may live. With the usual idle timeout of 15 s these flows have been idle for longer than they may be, since all their packets pass the agent; with one above 30 s an open flow could be reset on silence alone. The agent is now forgotten after the later of the two.

What it costs: flows that only "perhaps" agents hold, and resets of lost flows, wait as long.

--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -365,17 +365,26 @@
 	delete(n.peers, addr)
 }
 
-// isLost reports whether no heartbeat came from a process for lostTimeout. An entry that receives heartbeats from few processes
+// isLost reports whether no heartbeat came from a process for lostTime. An entry that receives heartbeats from few processes
 // is probably cut off from the others: if it forgot them, it would take the rest for the whole deployment. It therefore waits
 // until the directory has not listed the process for lostTimeout either. The caller holds the lock.
 func (n *Node) isLost(p *peer, isolated bool, now time.Time) bool {
-	if now.Sub(p.lastHeartbeat) <= lostTimeout {
+	if now.Sub(p.lastHeartbeat) <= n.lostTime() {
 		return false
 	}
 	unlistedFor := n.directoryRead.Sub(latest(p.lastHeartbeat, p.listedAt))
 	return !isolated || unlistedFor > lostTimeout
 }
 
+// lostTime returns how long after its last heartbeat a process is lost: lostTimeout, or until all flows that it carried have been idle for
+// as long as they may be, since its packets have stopped like its heartbeats. The caller holds the lock.
+func (n *Node) lostTime() time.Duration {
+	if n.table == nil {
+		return lostTimeout
+	}
+	return max(lostTimeout, n.table.Idle+silenceTimeout)
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
