memb: contact a listed process that an ended one hides

A record is merged only if its incarnation, which grows with the time of day, is the highest of its address. After a process with a clock that was ahead has ended (gone or lost), the record of the next one at the address doesn't count until that process hears of it and raises its own incarnation. If it doesn't know this entry, as the entry isn't listed, it doesn't hear of it: the entry reads it in the directory and drops it, so that its flows are denied. The entry now sends such a process its state; the process replies, and the known exchange follows.

Before the fix: lost_test.go:86: not true: known() --- FAIL: TestListedAgentWithEarlierClockIsContacted (1.51s)

--- a/internal/memb/lost_test.go
+++ b/internal/memb/lost_test.go
@@ -1,12 +1,15 @@
 package memb
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
 // Guards against resets of flows that are open and not yet idle for as long as they may be: their agent hangs on an instance that answers,
@@ -38,3 +41,25 @@
 	is.True(n.Dead(otherAddr))
 }
 
+// Guards against an agent that an entry doesn't take for a possible holder although it is listed: a process that ended at its address had a
+// later time of day, and the agent doesn't know the entry, so that it can't contradict.
+func TestListedAgentWithEarlierClockIsContacted(t *testing.T) {
+	is := is.New(t)
+	for _, state := range []view.State{view.Gone, view.Lost} {
+		n := newGroup(t, 1).entries[0]
+		agent := newEntry(t, netip.MustParseAddrPort("127.0.0.3:1"), new(memoryDirectory))
+		agent.opts.Load = func() ctrl.ServerLoad { return ctrl.ServerLoad{Ready: true} }
+		agent.self.Role, agent.self.Service = view.Agent, ServiceNumber(route.ServiceID("intake"))
+		ended := agent.self
+		ended.Incarnation, ended.State, ended.Since = agent.self.Incarnation+4, state, time.Now()
+		listed := agent.self
+		go func() { _ = agent.opts.Link.Serve() }()
+		n.mergeRecords([]view.Record{ended})
+		n.mergeRecords([]view.Record{listed})
+		known := func() bool { return len(n.PossibleHolders([]uint64{route.ServiceID("intake")})) == 1 }
+		for deadline := time.Now().Add(testPeriod); !known() && time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			agent.tick()
+		}
+		is.True(known())
+	}
+}
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -576,8 +576,8 @@
 // mergeRecords merges records from the directory or from gossip, and sends the node's state to processes that are new.
 func (n *Node) mergeRecords(records []view.Record) {
 	now := time.Now()
-	var newPeers []view.Record
-	var contradicted []view.Record
+	var newPeers, contradicted []view.Record
+	var hidden []netip.AddrPort
 	n.mu.Lock()
 	for _, r := range records {
 		if r.Packets == n.self.Packets {
@@ -591,6 +591,9 @@
 			contradicted = append(contradicted, r)
 			continue
 		}
+		if n.isHidden(r) {
+			hidden = append(hidden, r.Control)
+		}
 		if n.view.Merge(r, now) && (r.State == view.Up || r.State == view.Draining) && n.peers[r.Packets] == nil {
 			n.peers[r.Packets] = &peer{lastHeartbeat: now}
 			newPeers = append(newPeers, r)
@@ -600,6 +603,9 @@
 	starting := now.Sub(n.startedAt) <= startupPeriod
 	n.mu.Unlock()
 	n.greetPeers(state, newPeers, starting)
+	if len(hidden) > 0 {
+		n.sendState(state, hidden) // The process replies if it runs.
+	}
 	for _, r := range contradicted {
 		n.sendRecords(r.Control, []view.Record{r}) // The process refutes it.
 	}
@@ -630,6 +636,13 @@
 	}
 }
 
+// isHidden reports whether a record of a process that may run has an earlier incarnation than that of one that has ended at its address, so
+// that it isn't merged. Incarnations are ordered by the time of day at their starts. The caller holds the lock.
+func (n *Node) isHidden(r view.Record) bool {
+	known, ok := n.view.Get(r.Packets)
+	return ok && n.peers[r.Packets] == nil && known.Incarnation > r.Incarnation && (r.State == view.Up || r.State == view.Draining)
+}
+
 // isContradicted reports whether a record says that a process has ended, but heartbeats of another incarnation arrive from its address.
 // Incarnations are ordered by the time of day at their starts, so that the record may be of an earlier one. The caller holds the lock.
 func (n *Node) isContradicted(r view.Record) bool {
