memb: an entry that stood still needs new evidence that it knows all agents

After a pause of the process, or a suspension of its machine, an entry went on with the agents that it knew. Agents that started meanwhile were unknown to it for up to 15 s if they had dropped it from their peers, or never knew it, as it wasn't listed: the steady clock doesn't count a suspension, so that the next read of the directory wasn't due. The entry would deny, and reset, their flows once it was in touch again. Now a pause of 5 s or more makes it unsettled: it reads the directory at once, not a stale copy, and asks the processes that it hears.

Before the fix: lost_test.go:57: not true: !n.AllAgentsKnown() --- FAIL: TestAgentsAreNotAllKnownAfterLongPause (0.00s)

--- a/internal/memb/lost_test.go
+++ b/internal/memb/lost_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bergamotrun/bergamotrun/internal/ctrl"
 	"github.com/bergamotrun/bergamotrun/internal/route"
+	"github.com/bergamotrun/bergamotrun/internal/settle"
 	"github.com/bergamotrun/bergamotrun/internal/view"
 )
 
@@ -41,6 +42,28 @@
 	is.True(n.Dead(otherAddr))
 }
 
+// Guards against resets of the flows of agents that started while this entry stood still, or its machine was suspended: its directory is
+// old, and the agents may not know it.
+func TestAgentsAreNotAllKnownAfterLongPause(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(t, 2)
+	n := g.entries[0]
+	is.True(n.AllAgentsKnown())
+	suspended := time.Duration(0)
+	n.opts.Suspended = func() time.Duration { return suspended }
+	n.tick()
+	suspended = longPause + time.Second
+	n.tick()
+	is.True(!n.AllAgentsKnown())
+	is.True(n.rereadDue(time.Now().Add(time.Millisecond)))
+	n.mu.Lock()
+	n.settlingSince = n.settlingSince.Add(-settle.DiscoveryTime)
+	n.mu.Unlock()
+	is.True(!n.AllAgentsKnown()) // The others started when this one did, but that was long ago.
+	n.onPeerRecords(g.entries[1].self.Control, ctrl.PeerRecords{List: 1, Count: 1})
+	is.True(n.AllAgentsKnown())
+}
+
 // Guards against an agent that an entry doesn't take for a possible holder although it is listed: a process that ended at its address had a
 // later time of day, and the agent doesn't know the entry, so that it can't contradict.
 func TestListedAgentWithEarlierClockIsContacted(t *testing.T) {
--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -157,7 +157,9 @@
 	// settled is set once there was evidence that this process knows all agents. listReceived is set once a settled process has sent its
 	// list, of which lists has the parts; listsSent counts those that this process sent. peersAsked is when peers were last sent a hello.
 	// replaces is set if a process has told that another one had run at this one's address.
+	// settlingSince is since when evidence counts if this process stood still for longPause; before, it is startedAt.
 	settled, listReceived, replaces bool
+	settlingSince                   time.Time
 	lists                           settle.Lists
 	listsSent                       uint32
 	peersAsked                      time.Time
@@ -263,6 +265,7 @@
 	age := n.ageClock()
 	if n.paused(age) {
 		n.resumedAt = age
+		n.unsettleAfter(age.Sub(n.lastAgeTick), now)
 	}
 	n.lastAgeTick = age
 	if gap > pauseThreshold {
--- a/internal/memb/settle.go
+++ b/internal/memb/settle.go
@@ -15,6 +15,9 @@
 const (
 	// askInterval is the time between two rounds of hellos to known processes.
 	askInterval = time.Second
+	// longPause is how long a process may stand still and still know all agents: those that start meanwhile find it in the directory, and
+	// their heartbeats show them.
+	longPause = 5 * time.Second
 	// maxAskedPeers is how many entries, and how many agents, get a hello in one round.
 	maxAskedPeers = 2
 )
@@ -47,8 +50,9 @@
 
 // evidence returns what shows whether this process knows all agents. The caller holds the lock.
 func (n *Node) evidence(now time.Time) settle.Evidence {
+	since := latest(n.startedAt, n.settlingSince)
 	e := settle.Evidence{
-		Uptime: now.Sub(n.startedAt), Read: !n.directoryRead.IsZero(), ReadAt: n.directoryRead.Sub(n.startedAt), ListReceived: n.listReceived, Replaces: n.replaces,
+		Uptime: now.Sub(since), Read: !n.directoryRead.Before(since), ReadAt: n.directoryRead.Sub(since), ListReceived: n.listReceived, Replaces: n.replaces,
 	}
 	for a, p := range n.peers {
 		r, ok := n.view.Get(a)
@@ -65,13 +69,22 @@
 // isOlder reports whether another process has started before this one, and not together with it, as far as is known. The caller holds the
 // lock.
 func (n *Node) isOlder(p *peer) bool {
-	return p.startedAt.IsZero() || n.startedAt.Sub(p.startedAt) > settle.StartSpread
+	return p.startedAt.IsZero() || latest(n.startedAt, n.settlingSince).Sub(p.startedAt) > settle.StartSpread
+}
+
+// unsettleAfter makes this process look for evidence again if it stood still for too long until now. The caller holds the lock.
+func (n *Node) unsettleAfter(pause time.Duration, now time.Time) {
+	if pause < longPause || n.opts.Load != nil {
+		return
+	}
+	n.settled, n.listReceived, n.replaces, n.lists = false, false, false, settle.Lists{}
+	n.settlingSince, n.rereadAt = now, now
 }
 
 // settleReadDue reports whether the directory must be read by which this process is settled if nothing else has shown that. The caller
 // holds the lock.
 func (n *Node) settleReadDue(now time.Time) bool {
-	due := n.startedAt.Add(settle.RelistTime)
+	due := latest(n.startedAt, n.settlingSince).Add(settle.RelistTime)
 	return now.After(due) && n.directoryRead.Before(due) && !n.isSettled(now)
 }
 
