--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -157,7 +157,9 @@
 	// settled is set once there was evidence that this process knows all agents. listReceived is set once a settled process has sent its
 	// list, of which lists has the parts; listsSent counts those that this process sent. peersAsked is when peers were last sent a hello.
 	// replaces is set if a process has told that another one had run at this one's address.
+	// settlingSince is since when evidence counts if this process stood still for longPause; before, it is startedAt.
 	settled, listReceived, replaces bool
+	settlingSince                   time.Time
 	lists                           settle.Lists
 	listsSent                       uint32
 	peersAsked                      time.Time
@@ -263,6 +265,7 @@
 	age := n.ageClock()
 	if n.paused(age) {
 		n.resumedAt = age
+		n.unsettleAfter(age.Sub(n.lastAgeTick), now)
 	}
 	n.lastAgeTick = age
 	if gap > pauseThreshold {
@@ -365,17 +368,26 @@
 	delete(n.peers, addr)
 }
 
-// isLost reports whether no heartbeat came from a process for lostTimeout. An entry that receives heartbeats from few processes
+// isLost reports whether no heartbeat came from a process for lostTime. An entry that receives heartbeats from few processes
 // is probably cut off from the others: if it forgot them, it would take the rest for the whole deployment. It therefore waits
 // until the directory has not listed the process for lostTimeout either. The caller holds the lock.
 func (n *Node) isLost(p *peer, isolated bool, now time.Time) bool {
-	if now.Sub(p.lastHeartbeat) <= lostTimeout {
+	if now.Sub(p.lastHeartbeat) <= n.lostTime() {
 		return false
 	}
 	unlistedFor := n.directoryRead.Sub(latest(p.lastHeartbeat, p.listedAt))
 	return !isolated || unlistedFor > lostTimeout
 }
 
+// lostTime returns how long after its last heartbeat a process is lost: lostTimeout, or until all flows that it carried have been idle for
+// as long as they may be, since its packets have stopped like its heartbeats. The caller holds the lock.
+func (n *Node) lostTime() time.Duration {
+	if n.table == nil {
+		return lostTimeout
+	}
+	return max(lostTimeout, n.table.Idle+silenceTimeout)
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
@@ -567,8 +579,8 @@
 // mergeRecords merges records from the directory or from gossip, and sends the node's state to processes that are new.
 func (n *Node) mergeRecords(records []view.Record) {
 	now := time.Now()
-	var newPeers []view.Record
-	var contradicted []view.Record
+	var newPeers, contradicted []view.Record
+	var hidden []netip.AddrPort
 	n.mu.Lock()
 	for _, r := range records {
 		if r.Packets == n.self.Packets {
@@ -582,6 +594,9 @@
 			contradicted = append(contradicted, r)
 			continue
 		}
+		if n.isHidden(r) {
+			hidden = append(hidden, r.Control)
+		}
 		if n.view.Merge(r, now) && (r.State == view.Up || r.State == view.Draining) && n.peers[r.Packets] == nil {
 			n.peers[r.Packets] = &peer{lastHeartbeat: now}
 			newPeers = append(newPeers, r)
@@ -591,6 +606,9 @@
 	starting := now.Sub(n.startedAt) <= startupPeriod
 	n.mu.Unlock()
 	n.greetPeers(state, newPeers, starting)
+	if len(hidden) > 0 {
+		n.sendState(state, hidden) // The process replies if it runs.
+	}
 	for _, r := range contradicted {
 		n.sendRecords(r.Control, []view.Record{r}) // The process refutes it.
 	}
@@ -621,6 +639,13 @@
 	}
 }
 
+// isHidden reports whether a record of a process that may run has an earlier incarnation than that of one that has ended at its address, so
+// that it isn't merged. Incarnations are ordered by the time of day at their starts. The caller holds the lock.
+func (n *Node) isHidden(r view.Record) bool {
+	known, ok := n.view.Get(r.Packets)
+	return ok && n.peers[r.Packets] == nil && known.Incarnation > r.Incarnation && (r.State == view.Up || r.State == view.Draining)
+}
+
 // isContradicted reports whether a record says that a process has ended, but heartbeats of another incarnation arrive from its address.
 // Incarnations are ordered by the time of day at their starts, so that the record may be of an earlier one. The caller holds the lock.
 func (n *Node) isContradicted(r view.Record) bool {
