deliv: a reply repeats the ID of the search that asked for it

An open flow could be reset by an entry on a denial of an earlier flow from the same port. Cause: since entries put the ID of a search into queries and ignore replies with another one, but agents never repeated it, and replies without an ID count for any search, as those of earlier releases. So the check had no effect.

Now the agent repeats it. Entries of earlier releases send 0 and get 0.

Before: query_reply_test.go:29: 0 != 77 --- FAIL: TestReplyRepeatsIDOfSearch (0.00s)

--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -39,7 +39,7 @@
 	a.compensatePause(now)
 	switch header.Kind {
 	case encap.Query:
-		a.handleQuery(from, body, now)
+		a.handleQuery(from, header.Version, body, now)
 		return
 	case encap.ListFlows:
 		a.sendFlowList(from, body, now)
@@ -60,14 +60,14 @@
 	}
 }
 
-// handleQuery replies to a query whether the server holds a flow.
-func (a *Agent) handleQuery(from netip.AddrPort, body []byte, now time.Time) {
+// handleQuery replies to a query of a search whether the server holds a flow.
+func (a *Agent) handleQuery(from netip.AddrPort, searchID uint64, body []byte, now time.Time) {
 	key, ok := encap.ParseKey(body)
 	if !ok {
 		a.counters.Add("hop_damaged", 1)
 		return
 	}
-	header := encap.Header{Kind: encap.QueryReply, Verdict: a.verdict(key, now)}
+	header := encap.Header{Kind: encap.QueryReply, Version: searchID, Verdict: a.verdict(key, now)}
 	f := a.flows.Peek(key)
 	if header.Verdict == seek.Perhaps && f == nil {
 		a.asked.Put(key, struct{}{}, now)
