deliv: tell entries when a denial rests on the server's start or end

Callers of lost flows waited longer than they must: since entries take a denial for "perhaps" after a list that couldn't tell, and probe, unless the agent marks its denial with encap.Certain. No agent did.

Now replies and lists have the mark if the server has ended, or has started while the agent ran. A table that is complete only by time doesn't set it.

Before: --- FAIL: TestDenialIsCertainOnlyByStartOrEndOfServer (0.00s) query_reply_test.go:57: start of the server, kind 6: got certain false query_reply_test.go:57: start of the server, kind 9: got certain false

--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -333,6 +333,12 @@
 // tableComplete reports whether the table holds all flows of the server.
 func (a *Agent) tableComplete(now time.Time) bool { return !now.Before(a.tableCompleteAt) }
 
+// deniesWithCertainty reports whether the start or end of the server shows that it doesn't hold the flows that the agent denies since they
+// aren't in the table. That none can have been idle for so long shows less: the client's packets may not have come here.
+func (a *Agent) deniesWithCertainty(now time.Time) bool {
+	return a.server.HasEnded() || a.tableComplete(now) && a.completeByStart
+}
+
 // serverMayHold reports whether the server may hold a flow that isn't in the table.
 func (a *Agent) serverMayHold(key flow.Key, now time.Time) bool {
 	return (!a.tableComplete(now) || a.asked.Peek(key) != nil) && a.denied.Peek(key) == nil && !a.server.HasEnded()
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -73,6 +73,9 @@
 	header := encap.Header{Kind: encap.ListReply, Service: route.ServiceID(a.serviceName())}
 	if a.tableComplete(now) {
 		header.Hops = encap.Exhaustive
+		if a.deniesWithCertainty(now) {
+			header.Hops |= encap.Certain
+		}
 	}
 	if t := a.opts.Cluster.Table(); t != nil {
 		header.Version = t.Version
@@ -85,7 +88,7 @@
 		for _, g := range groups {
 			fields = append(fields, zap.Int(g.verdict.String(), len(g.keys)))
 		}
-		logEntry.Write(append(fields, zap.Bool("exhaustive", header.Hops == encap.Exhaustive), zap.Uint64("version", header.Version))...)
+		logEntry.Write(append(fields, zap.Bool("exhaustive", header.Hops&encap.Exhaustive != 0), zap.Uint64("version", header.Version))...)
 	}
 	for _, g := range groups {
 		part.Total += g.parts()
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -69,6 +69,9 @@
 	}
 	header := encap.Header{Kind: encap.QueryReply, Version: searchID, Verdict: a.verdict(key, now)}
 	f := a.flows.Peek(key)
+	if header.Verdict == seek.Denied && f == nil && a.deniesWithCertainty(now) {
+		header.Hops = encap.Certain
+	}
 	if header.Verdict == seek.Perhaps && f == nil {
 		a.asked.Put(key, struct{}{}, now)
 	}
