deliv: an RST long after a late SYN denies the flow

Callers of a flow that their server had reset or forgotten waited until their deadline, and no search for it ended. A server that ignores a late SYN never replies, so that none of its RSTs counted, nor reached the client.

Such an RST is now ignored only as long as a client waits for the reply to its first SYN. After that the next copy of the client's packet, which the server answers with an RST again, is denied.

Before: --- FAIL: TestResetAfterLateSynDenies (0.00s) server_reset_test.go:102: opening != denied

--- a/internal/deliv/evidence.go
+++ b/internal/deliv/evidence.go
@@ -133,6 +133,11 @@
 	return f.isUndecided() || f.phase == phaseOpening && !f.synAckSeen
 }
 
+// awaitsSynAck reports whether the server may still reply to a SYN that it was sent.
+func (f *flowState) awaitsSynAck(now time.Time) bool {
+	return f.synSeen && !f.synAckSeen && now.Sub(f.firstSeen) < maxHandshakeTime
+}
+
 // isUndecided reports whether nothing that the agent has seen since its start shows whether the server holds the flow. No packet is then kept
 // from the server, and no client reset.
 func (f *flowState) isUndecided() bool { return f.phase == phaseProbing || f.phase == phaseUnconfirmed }
--- a/internal/deliv/server_packet.go
+++ b/internal/deliv/server_packet.go
@@ -48,7 +48,7 @@
 
 // handleUnheldReset processes an RST of the server on a flow, whose state is f or nil, that it isn't known to hold. A server at which
 // another flow with the key has ended answers data in this way. The RST isn't sent to the client, whose flow may be open at another server.
-// One that comes before the reply to a SYN isn't of the new flow, and one on a flow that has ended shows nothing new.
+// One that comes before the reply to a SYN isn't of the new flow, unless the SYN was a late one that gets no reply, and one on a flow that has ended shows nothing new.
 func (a *Agent) handleUnheldReset(key flow.Key, f *flowState, now time.Time) {
 	a.counters.Add("unheld_reset", 1)
 	fields := []zap.Field{zap.Stringer("flow", key)}
@@ -56,7 +56,7 @@
 		fields = a.flowFields(key, f, now)
 	}
 	a.opts.FlowLog.Info("reset by a server that isn't known to hold the flow", fields...)
-	if f != nil && (f.phase == phaseClosed || f.synSeen && !f.synAckSeen) {
+	if f != nil && (f.phase == phaseClosed || f.awaitsSynAck(now)) {
 		return
 	}
 	a.denied.Put(key, struct{}{}, now)
--- a/internal/deliv/server_reset_test.go
+++ b/internal/deliv/server_reset_test.go
@@ -84,6 +84,25 @@
 	}
 }
 
+// Guards against callers of a flow that wait until their deadline: a late SYN had come to the flow, so that the agent took each RST of the server for
+// one of before the reply to that SYN, which never came.
+func TestResetAfterLateSynDenies(t *testing.T) {
+	for _, c := range []struct {
+		sinceSyn time.Duration
+		want     seek.Verdict
+	}{{0, seek.Opening}, {maxHandshakeTime + time.Millisecond, seek.Denied}} {
+		env := newTestEnv(t, true)
+		env.receiveHeartbeat(nil)
+		env.openFlow()
+		env.receiveDatagram(encap.Header{Kind: encap.Forward}, 4, request)
+		env.receiveFromServer(5, flow.Header{Ack: true, Len: 50})
+		env.receiveDatagram(encap.Header{Kind: encap.Open, Version: 5}, 6, flow.Header{Syn: true, Seq: 1 << 30})
+		env.ageFlows(c.sinceSyn)
+		env.receiveFromServer(7, flow.Header{Rst: true, Seq: 50})
+		env.Equal(env.verdict(), c.want)
+	}
+}
+
 // An acknowledgement of a flow that the agent hasn't seen may be that of a FIN that its predecessor sent on.
 func TestAcknowledgementOfUnknownFlowIsNoProof(t *testing.T) {
 	env := newTestEnv(t, false)
