deliv: the model's server resets flows, and its lists are the agent's own

The model of one key's flows left out resets by the server, packets of the server that cross a SYN, and lists that the ended process itself has saved.

--- a/internal/deliv/model_test.go
+++ b/internal/deliv/model_test.go
@@ -76,6 +76,8 @@
 	// unanswered counts the packets of the current flow, which the server holds, that came back in a row.
 	unanswered int
 	violation  string
+	// wasReset means that the client has received an RST since wasReset was unset.
+	wasReset bool
 }
 
 func (m *model) current() *modelFlow { return m.flows[len(m.flows)-1] }
@@ -113,6 +115,10 @@
 	b := make([]byte, 2*encap.HeaderSize, 2*encap.HeaderSize+encap.MaxPacketSize)
 	header.Encode(b[encap.HeaderSize:])
 	m.agent.handleDatagram(ptest.Addr(m.entry), append(b, packet...))
+	if f := m.serverFlow; kind == encap.Open && f != nil && f.held && m.rand.IntN(2) == 0 {
+		m.log("a packet of the server crosses the SYN")
+		m.reply(encodeModel(modelAck|modelFromServer, m.serverNext, f.seq, byte(50*m.rand.IntN(2))))
+	}
 	m.settleAll()
 }
 
@@ -216,6 +222,7 @@
 	h, _ := modelCodec{}.Parse(b)
 	f := m.current()
 	m.log("  client gets: system=%t %s", b[0]&modelSystem != 0, describe(h))
+	m.wasReset = m.wasReset || h.Rst
 	switch {
 	case h.Rst && f.opened && !f.ended && (!f.here || f.held):
 		m.fail("open flow reset")
@@ -254,7 +261,9 @@
 // step plays a random event.
 func (m *model) step() {
 	f := m.current()
-	switch m.rand.IntN(15) {
+	switch m.rand.IntN(16) {
+	case 14:
+		m.resetByServer()
 	case 0: // The client uses the port for a new flow.
 		if !f.ended && f.opened && m.rand.IntN(3) > 0 { // Else it gives up without a sign.
 			m.send(modelFin, 0)
@@ -335,7 +344,15 @@
 
 // restart starts the agent's process again. Its saved list may name a flow with the key, of now or of earlier.
 func (m *model) restart() {
+	list, ok := m.agent.encodeFlowList(true)
 	m.newProcess(false)
+	if ok && m.rand.IntN(2) == 0 {
+		s, err := parseFlowList(list)
+		m.NoErr(err)
+		m.log("agent restarts, keys=%d opening=%d", len(s.Keys), len(s.OpeningKeys))
+		m.agent.tryRestore(s)
+		return
+	}
 	saved := m.rand.IntN(3) > 0
 	m.log("agent restarts, saved=%t", saved)
 	if saved {
@@ -345,6 +362,27 @@
 	}
 }
 
+// resetByServer makes the server reset the current flow, if it holds it. The client must learn it, or entries that search for the flow.
+func (m *model) resetByServer() {
+	f := m.current()
+	if f != m.serverFlow || !f.held || !f.opened || f.ended {
+		return
+	}
+	m.log("server resets")
+	f.held, m.serverFlow, m.serverEnded, m.wasReset = false, nil, f, false
+	m.ageFlows(maxHandshakeTime)
+	m.reply(encodeModel(modelRst|modelAck|modelFromServer, m.serverNext, f.seq, 0))
+	m.settleAll()
+	const copies = 3
+	for i := 0; i < copies && !m.wasReset; i++ {
+		m.send(0, 50)
+	}
+	if !m.wasReset && m.verdict() != seek.Denied {
+		m.fail("nobody learns that the server has reset the flow")
+	}
+	f.ended, f.sent = true, nil
+}
+
 // check reports a flow that entries would reset, or whose packets don't reach the server that holds it.
 func (m *model) check() {
 	f := m.current()
@@ -360,9 +398,10 @@
 }
 
 // Guards against what single cases leave out: whatever the order of late packets, SYNs, restarts of the agent and saved lists on one key, the
-// agent doesn't reset a flow that is open, here or elsewhere, nor deny one that its server holds or keep its packets from the server.
+// agent doesn't reset a flow that is open, here or elsewhere, nor deny one that its server holds or keep its packets from the server, nor hide that
+// the server has reset it.
 func TestAgentNeverEndsOpenFlow(t *testing.T) {
-	const seeds, steps = 500, 100
+	const seeds, steps = 2000, 100
 	env := newTestEnv(t, true)
 	env.agent.opts.Codec = modelCodec{}
 	for seed := range uint64(seeds) {
