memb: that an entry replaced another process shows nothing after it stood still

A lone entry could reset open flows of an agent that it didn't know, 2 s after it had stood still. Cause: since such an entry needs new evidence that it knows all agents, and forgets what it had. But agents tell for as long as an entry runs that it replaced another process at its address, and repeat that with each reply. Of agents that started while it stood still, and that the directory has lost, this shows nothing.

An entry that has stood still for 5 s no longer counts it: other entries' lists, or the directory 20 s later, decide.

Before: --- FAIL: TestReplacementIsNoEvidenceAfterStandstill (0.00s) settle_test.go:205: not true: !n.AllAgentsKnown()

--- a/internal/memb/node.go
+++ b/internal/memb/node.go
@@ -156,7 +156,7 @@
 	announcementsLeft int
 	// settled is set once there was evidence that this process knows all agents. listReceived is set once a settled process has sent its
 	// list, of which lists has the parts; listsSent counts those that this process sent. peersAsked is when peers were last sent a hello.
-	// replaces is set if a process has told that another one had run at this one's address.
+	// replaces is set if a process has told that another one had run at this one's address, unless this one has stood still since.
 	// settlingSince is since when evidence counts if this process stood still for longPause; before, it is startedAt.
 	settled, listReceived, replaces bool
 	settlingSince                   time.Time
--- a/internal/memb/settle.go
+++ b/internal/memb/settle.go
@@ -131,7 +131,7 @@
 	if reply.Unlisted {
 		n.checkListing(time.Now())
 	}
-	n.replaces = n.replaces || reply.Replaces
+	n.replaces = n.replaces || reply.Replaces && n.settlingSince.IsZero()
 	if n.lists.Record(from, settle.Part{List: reply.List, Index: reply.Index, Count: reply.Count}) {
 		n.listReceived = true
 	}
--- a/internal/memb/settle_test.go
+++ b/internal/memb/settle_test.go
@@ -190,3 +190,17 @@
 	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Unlisted: true})
 	is.True(n.rereadDue(time.Now()))
 }
+
+// Guards against resets of open flows by a lone entry that stood still: agents tell for as long as it runs that it replaced another process, which shows
+// nothing of agents that have started while it stood still.
+func TestReplacementIsNoEvidenceAfterStandstill(t *testing.T) {
+	is := is.New(t)
+	n := newNode(t, new(memoryDirectory))
+	n.onState(otherAddr, ctrl.State{Record: agentRecord("desk"), Uptime: time.Hour})
+	now := time.Now()
+	n.startedAt = now.Add(-time.Hour)
+	n.unsettleAfter(longPause, now.Add(-settle.ReplacementTime))
+	n.recordDirectoryRead(nil, now.Add(-time.Second))
+	n.onPeerRecords(otherAddr, ctrl.PeerRecords{Replaces: true})
+	is.True(!n.AllAgentsKnown())
+}
