relay: an RST of the earlier flow from a port doesn't deny the next

A search that began with a client's RST has no numbers, so that the next flow's packet joined it and took over its denials; and an RST that an agent returned counted as a returned packet of whichever flow was searched for. With another agent's denial the open flow was reset. An RST now joins a search only if its numbers match, and no packet joins that of an RST.

--- a/internal/relay/numbers_test.go
+++ b/internal/relay/numbers_test.go
@@ -231,3 +231,24 @@
 		tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
 	}
 }
+
+// Guards against the reset of an open flow: an agent denied or returned an RST by which the client ended the earlier flow from its port. Its
+// numbers may be any.
+func TestRstOfEarlierFlowDoesNotDenyLaterOne(t *testing.T) {
+	rst := flow.Header{Rst: true, Seq: 1001}
+	for _, first := range []bool{true, false} {
+		tr := newTestRelay(t)
+		if first {
+			tr.sendFromClient(1, rst)
+			tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
+			tr.sendFromClient(2, packetOfLaterFlow)
+		} else {
+			tr.sendFromClient(2, packetOfLaterFlow)
+			tr.sendFromClient(1, rst)
+			tr.returnFromAgent(tr.agentA, 1)
+		}
+		tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
+		tr.True(!tr.receivesReset())
+		tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+	}
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -65,6 +65,9 @@
 // findHolder queues a packet and starts or resumes the search for the agent that holds its flow.
 func (r *Relay) findHolder(key flow.Key, h flow.Header, rt *route.Route, b []byte, now time.Time) {
 	s, earlier := r.searches[key], (*search)(nil)
+	if s != nil && h.Rst && !s.mayContain(h) {
+		return // It would end the search for another flow.
+	}
 	if s != nil && (s.expired(now) || now.Sub(s.packetAt) > maxRetransmissionInterval || !s.mayContain(h)) {
 		r.removeSearch(key, s)
 		if s.mayContain(h) {
@@ -90,7 +93,11 @@
 }
 
 // mayContain reports whether a client's packet may be of the flow that is searched for. The verdicts of a search count for one flow only.
-func (s *search) mayContain(h flow.Header) bool { return h.Rst || s.numbers.Match(h) != flow.Other }
+// The numbers of an RST may be any: it belongs to the flow only if they match.
+func (s *search) mayContain(h flow.Header) bool {
+	match := s.numbers.Match(h)
+	return match == flow.Same || match == flow.Unknown && !h.Rst && !s.packetHeader.Rst
+}
 
 // resume continues a paused search.
 func (r *Relay) resume(key flow.Key, s *search, rt *route.Route, now time.Time) {
