relay, seek: two packets at most go to likely servers alone

Cause: a server that a saved list names, or that was sent the flow's SYN, is probed before the others, and alone for 500 ms. After that it was still probed alone with each copy as long as the link had no room for probes of all, as after a kill of all processes, or one agent didn't reply, up to 30 s if it hangs. A server at which an earlier flow from the port has ended doesn't return an acknowledgement, and one that stands still returns nothing.

Now the entry counts the packets that leave out a server that may hold the flow, and sends two: servers acknowledge every second packet, so that the agent of one that holds the flow has claimed it by then. Further ones wait for a probe of all. Once a server returns a packet the count starts again, for the next likely one. What such a flow pays is silence until an agent answers or the link has room.

Before (four copies in 1.4 s, the link without room): --- FAIL: TestSilentServerIsProbedAloneWithTwoPacketsOnly (1.75s) probe_test.go:147: 4 != 2

--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -134,6 +134,7 @@
 		r.flows.Delete(key)
 	}
 	s.RecordReturn(agent, sameKey)
+	s.probedAlone = 0 // The next ones go to other servers.
 	if rt := r.opts.Cluster.Table().Lookup(h.Dst); s.hinted && !s.paused && rt != nil {
 		r.resume(key, s, rt, now)
 		return
--- a/internal/relay/probe.go
+++ b/internal/relay/probe.go
@@ -10,6 +10,19 @@
 	"github.com/bergamotrun/bergamotrun/internal/flow"
 )
 
+// maxProbedAlone is how many packets of a flow are sent to some of the servers that may hold it, and not to the others. Servers acknowledge
+// every second packet; further ones that reach other servers alone would break the flow.
+const maxProbedAlone = 2
+
+// countProbe counts a packet that is sent to all servers that may hold the flow, or to some alone.
+func (s *search) countProbe(alone bool) {
+	if !alone {
+		s.probedAlone = 0
+		return
+	}
+	s.probedAlone++
+}
+
 // probe sends the first packet of a search to agents whose servers may hold the flow. If the link has no room for that, only those that may well
 // hold it get the packet, and the others wait for the client's next one.
 func (r *Relay) probe(key flow.Key, s *search, agents []netip.AddrPort, now time.Time) {
@@ -32,6 +45,12 @@
 		}
 		agents = likely
 	}
+	alone := s.LeavesOut(agents)
+	if alone && s.probedAlone >= maxProbedAlone {
+		r.pauseSearch(key, s, "no answer, and others may hold the flow", now)
+		return
+	}
+	s.countProbe(alone)
 	r.counters.Add("tried", int64(len(agents)))
 	r.opts.FlowLog.Info("probing servers that may hold the flow", zap.Stringer("flow", key), zap.Int("servers", len(agents)),
 		zap.Duration("after", now.Sub(s.startedAt)), zap.String("answers", s.Trace()))
@@ -44,10 +63,11 @@
 
 // probeMore sends the next packet of a search to the only agent whose server has not returned the first one.
 func (r *Relay) probeMore(key flow.Key, s *search, agent netip.AddrPort, now time.Time) {
-	if s.unattended || s.probed >= len(s.packets) {
+	if s.unattended || s.probed >= len(s.packets) || s.probedAlone >= maxProbedAlone {
 		r.pauseSearch(key, s, "no answer to the probe", now)
 		return
 	}
+	s.countProbe(s.LeavesOut([]netip.AddrPort{agent}))
 	r.sendProbe(s, s.packets[s.probed], agent)
 	s.probed++
 	r.scheduleStep(key, s)
--- a/internal/relay/probe_test.go
+++ b/internal/relay/probe_test.go
@@ -123,3 +123,50 @@
 	tr.Equal(tr.countKind(tr.agentA, encap.Probe), 1)
 	tr.Equal(tr.countKind(tr.agentB, encap.Probe), 0)
 }
+
+// Guards against packets of an open flow that all go to a server that doesn't hold it: a saved list names an earlier flow from the same port, whose
+// server answers no acknowledgement, and the link has no room for probes of the others, or one agent doesn't reply.
+func TestSilentServerIsProbedAloneWithTwoPacketsOnly(t *testing.T) {
+	for _, choked := range []bool{true, false} {
+		tr := newTestRelay(t)
+		probes := 0
+		for i, wait := range []time.Duration{0, 200, 400, 800} { // The intervals of the client's copies.
+			time.Sleep(wait * time.Millisecond)
+			if choked {
+				tr.useUpProbes()
+			}
+			tr.sendFromClient(byte(i+1), upload(0))
+			if choked {
+				tr.answer(seek.Opening, seek.Perhaps)
+			} else {
+				tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Opening}, key)
+			}
+			tr.awaitPause()
+			probes += tr.countKind(tr.agentA, encap.Probe)
+		}
+		tr.Equal(probes, 2)
+	}
+}
+
+// Guards against a search that never comes to the holder since the server of an earlier flow, which returned the packets, got them first.
+func TestNextLikelyServerIsProbedAfterReturn(t *testing.T) {
+	for _, returns := range []bool{true, false} {
+		tr := newTestRelay(t)
+		other := ptest.Listen(t, "127.0.0.1:0") // It doesn't reply.
+		tr.cluster.possibleHolders = append(tr.cluster.possibleHolders, seek.Candidate{Agent: ptest.Addr(other)})
+		for i := range maxProbedAlone {
+			tr.sendFromClient(byte(i+1), upload(i))
+		}
+		tr.answer(seek.Opening, seek.Perhaps)
+		tr.awaitPause()
+		tr.Equal(tr.countKind(tr.agentA, encap.Probe), maxProbedAlone)
+		if returns {
+			tr.returnFromAgent(tr.agentA, 1)
+		}
+		tr.drain()
+		tr.sendFromClient(3, upload(0))
+		tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Opening}, key)
+		tr.awaitPause()
+		tr.Equal(tr.countKind(tr.agentB, encap.Probe) > 0, returns)
+	}
+}
--- a/internal/relay/search.go
+++ b/internal/relay/search.go
@@ -51,7 +51,9 @@
 	packets [][]byte
 	// probed is the number of queued packets that have been sent as probes.
 	probed int
-	timer  *time.Timer
+	// probedAlone is the number of packets that have been sent since all servers that may hold the flow were probed, to some of them only.
+	probedAlone int
+	timer       *time.Timer
 	// allServices is set if the agents of all services are queried, not only those of the route's services.
 	allServices bool
 	// paused is set while the search waits for the client's next packet, since pausedAt. unattended is set while it goes on without
--- a/internal/seek/probe.go
+++ b/internal/seek/probe.go
@@ -72,6 +72,16 @@
 	return opening
 }
 
+// LeavesOut reports whether an agent that isn't among those given may hold the flow.
+func (s *Search) LeavesOut(agents []netip.AddrPort) bool {
+	for i := range s.candidates {
+		if c := &s.candidates[i]; c.mayHold() && !slices.Contains(agents, c.agent) {
+			return true
+		}
+	}
+	return false
+}
+
 // probeTargets returns the agents with the given verdict that have not been probed within probeRetryDelay.
 func (s *Search) probeTargets(verdict Verdict, now time.Time) []netip.AddrPort {
 	var agents []netip.AddrPort
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -387,10 +387,12 @@
 // with the same key.
 func (s *Search) undecided() bool {
 	for i := range s.candidates {
-		c := &s.candidates[i]
-		if c.holdsSameKey || c.verdict != Denied && (c.verdict != 0 || !c.dead) {
+		if c := &s.candidates[i]; c.holdsSameKey || c.mayHold() {
 			return true
 		}
 	}
 	return false
 }
+
+// mayHold reports whether the agent gave another verdict than Denied, or none without being dead.
+func (c *candidate) mayHold() bool { return c.verdict != Denied && (c.verdict != 0 || !c.dead) }
