relay: an RST that comes back doesn't hide the port's next flow

The agent of an open flow returns a late RST of the earlier flow from the port. The numbers of an RST counted for any flow, so that the entry forgot where the open one is, and its next packet had to be searched for. A returned RST now removes a flow from the entry's table only if its numbers match.

Before: --- FAIL: TestReturnedResetOfEarlierFlowKeepsLaterOne (0.30s) numbers_test.go:113: 0 != 1

--- a/internal/relay/datagram.go
+++ b/internal/relay/datagram.go
@@ -110,7 +110,7 @@
 	if r.forwardToHolder(agent, key, h, b) {
 		return
 	}
-	if f := r.flows.Peek(key); f != nil && f.mayContain(h) {
+	if f := r.flows.Peek(key); f != nil && f.numbers.Match(h) != flow.Other {
 		r.flows.Delete(key)
 	}
 	rt := r.opts.Cluster.Table().Lookup(h.Dst)
--- a/internal/relay/numbers_test.go
+++ b/internal/relay/numbers_test.go
@@ -100,6 +100,19 @@
 	tr.Equal(tr.receiveForwards(tr.agentA), 1)
 }
 
+// Guards against an open flow that must be searched for, as its agent returned a late RST of the earlier flow from its port.
+func TestReturnedResetOfEarlierFlowKeepsLaterOne(t *testing.T) {
+	tr := newTestRelay(t)
+	tr.sendFromClient(1, packetOfLaterFlow)
+	tr.answer(seek.Held, seek.Denied)
+	tr.sendFromClient(2, flow.Header{Rst: true, Seq: packetOfEarlierFlow.Seq})
+	tr.drain()
+	tr.returnSameKey(tr.agentA, 2, seek.Held)
+	tr.drain()
+	tr.sendFromClient(1, packetOfLaterFlow)
+	tr.Equal(tr.receiveForwards(tr.agentA), 1)
+}
+
 // receiveForwards returns how many Forward datagrams have been sent to an agent.
 func (tr *testRelay) receiveForwards(conn *net.UDPConn) int {
 	tr.Helper()
