--- a/internal/relay/doubt_test.go
+++ b/internal/relay/doubt_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bergamotrun/bergamotrun/internal/encap"
-	"github.com/bergamotrun/bergamotrun/internal/ptest"
 	"github.com/bergamotrun/bergamotrun/internal/seek"
 )
 
@@ -43,7 +42,7 @@
 		tr.sendFromClient(1, upload(0))
 		tr.sendList(tr.agentA, 0)
 		tr.awaitPause()
-		tr.relay.searches[key].startedAt = time.Now().Add(-age)
+		tr.locked(func() { tr.relay.searches[key].startedAt = time.Now().Add(-age) })
 		tr.drain()
 		tr.sendFromClient(2, upload(0))
 		tr.answer(seek.Denied, seek.Denied)
@@ -62,7 +61,9 @@
 		tr.sendList(tr.agentA, 0)
 		tr.awaitPause()
 		time.Sleep(minListInterval)
-		tr.relay.resumeUnattended(key, tr.relay.searches[key])
+		var s *search
+		tr.locked(func() { s = tr.relay.searches[key] })
+		tr.relay.resumeUnattended(key, s)
 		flags := uint8(encap.Exhaustive)
 		if knows {
 			flags |= encap.Certain
@@ -98,9 +99,9 @@
 	s := tr.relay.searches[key]
 	tr.True(s.id != earlier && earlier != 0)
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied, Version: earlier}, key)
-	tr.True(s.Awaits(ptest.Addr(tr.agentA)))
+	tr.True(tr.awaits(tr.agentA))
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied, Version: s.id}, key)
-	tr.True(!s.Awaits(ptest.Addr(tr.agentA)))
+	tr.True(!tr.awaits(tr.agentA))
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key) // Of an earlier release.
 	tr.True(tr.receivesReset())
 }
--- a/internal/relay/hint_test.go
+++ b/internal/relay/hint_test.go
@@ -23,13 +23,13 @@
 func TestServerOfListedFlowIsProbedAtOnce(t *testing.T) {
 	tr := newTestRelay(t)
 	tr.listOpening()
-	tr.True(tr.relay.flows.Peek(key) == nil) // A saved list isn't known to be true.
+	tr.True(!tr.holder().IsValid()) // A saved list isn't known to be true.
 	tr.sendFromClient(1, upload(0))
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Probe)
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.Claim}, key)
 	tr.Equal(tr.receiveForwards(tr.agentA), 1)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
-	tr.Equal(tr.relay.flows.Peek(key).agent, ptest.Addr(tr.agentA))
+	tr.Equal(tr.holder(), ptest.Addr(tr.agentA))
 }
 
 // Guards against flows that are not found since a saved list names an earlier one from their port: its agent returns the packet, or its server
--- a/internal/relay/numbers_test.go
+++ b/internal/relay/numbers_test.go
@@ -25,6 +25,34 @@
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: b}, key)
 }
 
+// locked calls f while no timer of a search runs.
+func (tr *testRelay) locked(f func()) {
+	tr.relay.mu.Lock()
+	defer tr.relay.mu.Unlock()
+	f()
+}
+
+// awaits reports whether the search for the flow awaits an agent's verdict.
+func (tr *testRelay) awaits(conn *net.UDPConn) (awaits bool) {
+	tr.locked(func() { awaits = tr.relay.searches[key].Awaits(ptest.Addr(conn)) })
+	return awaits
+}
+
+// holder returns the agent that the table has for the flow, if it has one.
+func (tr *testRelay) holder() (agent netip.AddrPort) {
+	tr.locked(func() {
+		if f := tr.relay.flows.Peek(key); f != nil {
+			agent = f.agent
+		}
+	})
+	return agent
+}
+
+// endSearch removes the search for the flow.
+func (tr *testRelay) endSearch() {
+	tr.locked(func() { tr.relay.removeSearch(key, tr.relay.searches[key]) })
+}
+
 // drain reads the datagrams that have been sent to both agents.
 func (tr *testRelay) drain() {
 	tr.Helper()
@@ -69,7 +97,7 @@
 	tr.sendFromClient(2, packetOfLaterFlow)
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
 	tr.True(!tr.receivesReset())
-	tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+	tr.True(tr.awaits(tr.agentA))
 }
 
 // Guards against the reset of an open flow: its agent had returned a late packet of the earlier flow from its port before the flow was opened
@@ -77,12 +105,12 @@
 func TestReturnedPacketOfEarlierFlowDoesNotDenyLaterOne(t *testing.T) {
 	tr := newTestRelay(t)
 	tr.sendFromClient(1, packetOfEarlierFlow)
-	tr.relay.removeSearch(key, tr.relay.searches[key])
+	tr.endSearch()
 	tr.sendFromClient(2, packetOfLaterFlow)
 	tr.returnFromAgent(tr.agentA, 1)
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
 	tr.True(!tr.receivesReset())
-	tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+	tr.True(tr.awaits(tr.agentA))
 }
 
 // Guards against an open flow whose packets are dropped for seconds: a late packet of the earlier flow from its port goes to its agent, which
@@ -133,7 +161,7 @@
 		tr.answer(seek.Denied, seek.Denied)
 		tr.True(!tr.receivesReset())
 		tr.Equal(tr.relay.held[key] != nil, hold) // It is no sign that a server has accepted the SYN.
-		tr.Equal(tr.relay.flows.Peek(key) != nil, !hold)
+		tr.Equal(tr.holder().IsValid(), !hold)
 	}
 }
 
@@ -195,7 +223,7 @@
 	tr.sendFromClient(3, packetOfLaterFlow)
 	tr.answer(seek.Denied, seek.Denied)
 	tr.True(!tr.receivesReset())
-	tr.True(tr.relay.flows.Peek(key) != nil)
+	tr.True(tr.holder().IsValid())
 }
 
 // Guards against a reset by a denial that waited at a choked link, in a search that goes on without its client.
@@ -206,7 +234,7 @@
 	s := tr.relay.searches[key]
 	before := s.id
 	tr.relay.resumeUnattended(key, s)
-	tr.True(s.id != before)
+	tr.locked(func() { tr.True(s.id != before) })
 }
 
 // Guards against an open flow whose packets are searched for again and again: a late packet of the earlier flow from its port, which has just ended
@@ -217,7 +245,7 @@
 		tr.sendFromClient(1, flow.Header{Syn: true, Seq: 900_000})
 		tr.sendFromClient(2, packetOfEarlierFlow)
 		if returned {
-			tr.relay.removeSearch(key, tr.relay.searches[key])
+			tr.endSearch()
 			tr.returnFromAgent(tr.agentB, 2)
 		}
 		tr.answer(seek.Denied, seek.Held)
@@ -249,6 +277,6 @@
 		}
 		tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Denied}, key)
 		tr.True(!tr.receivesReset())
-		tr.True(tr.relay.searches[key].Awaits(ptest.Addr(tr.agentA)))
+		tr.True(tr.awaits(tr.agentA))
 	}
 }
--- a/internal/relay/probe_test.go
+++ b/internal/relay/probe_test.go
@@ -21,8 +21,10 @@
 func (tr *testRelay) useUpProbes() {
 	tr.Helper()
 	const slowLink = 0.001 // Mbit/s
-	tr.relay.limits = newSearchLimits(slowLink)
-	tr.True(tr.relay.limits.allowProbes(make([]byte, encap.MaxPacketSize), 2, time.Now()))
+	tr.locked(func() {
+		tr.relay.limits = newSearchLimits(slowLink)
+		tr.True(tr.relay.limits.allowProbes(make([]byte, encap.MaxPacketSize), 2, time.Now()))
+	})
 }
 
 // awaitPause waits until the search for the flow is paused.
@@ -59,7 +61,7 @@
 	tr.sendFromClient(1, upload(0))
 	tr.answer(seek.Perhaps, seek.Denied)
 	tr.awaitPause()
-	tr.True(tr.relay.flows.Peek(key) == nil)
+	tr.True(!tr.holder().IsValid())
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.Claim}, key)
 	tr.drain()
 	tr.sendFromClient(2, upload(1))
@@ -83,7 +85,7 @@
 	}
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.Claim}, key)
 	tr.Equal(tr.receiveForwards(tr.agentA), 3)
-	tr.Equal(tr.relay.flows.Peek(key).agent, ptest.Addr(tr.agentA))
+	tr.Equal(tr.holder(), ptest.Addr(tr.agentA))
 }
 
 // Guards against a claim that is lost since the search waits for the client's next packet: the search that goes on without it would not know
@@ -94,8 +96,8 @@
 	tr.answer(seek.Perhaps, seek.Denied)
 	tr.awaitPause()
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.Claim}, key)
-	tr.Equal(len(tr.relay.searches), 0)
-	tr.Equal(tr.relay.flows.Peek(key).agent, ptest.Addr(tr.agentA))
+	tr.locked(func() { tr.Equal(len(tr.relay.searches), 0) })
+	tr.Equal(tr.holder(), ptest.Addr(tr.agentA))
 }
 
 // Guards against open flows that wait for a share of the link after a kill of all processes: a packet that goes to one server takes no more
