--- a/internal/relay/returned_test.go
+++ b/internal/relay/returned_test.go
@@ -17,7 +17,7 @@
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
 	tr.returnFromAgent(tr.agentA, 2)
 	tr.sendFromAgent(tr.agentA, encap.Header{Kind: encap.ListReply, Hops: encap.Exhaustive, Verdict: seek.Held}, key)
-	tr.True(tr.relay.flows.Peek(key) == nil)
+	tr.True(!tr.holder().IsValid())
 	tr.sendFromAgent(tr.agentB, encap.Header{Kind: encap.QueryReply, Verdict: seek.Held}, key)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.ListFlows)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Forward)
@@ -40,5 +40,5 @@
 	tr.returnFromAgent(tr.agentB, 1)
 	tr.Equal(tr.receiveKind(tr.agentA), encap.Forward)
 	tr.Equal(tr.receiveKind(tr.agentB), encap.Kind(0))
-	tr.Equal(len(tr.relay.searches), 0)
+	tr.locked(func() { tr.Equal(len(tr.relay.searches), 0) })
 }
