memb: a test's processes ask each other as they do by gossip

TestReplacedEntryIsSettledByAgents/had_run_for_long failed once in a run of the package at a load average of 29, and in 35 of 400 runs of four at once: the agent's first state sometimes comes to the entry before its read of the directory, so that the entry greets no new process, and the test left out the later hellos that gossip sends each second.

--- a/internal/memb/settle_test.go
+++ b/internal/memb/settle_test.go
@@ -49,6 +49,7 @@
 	for deadline := time.Now().Add(duration); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
 		for _, n := range running {
 			n.tick()
+			n.askPeers(time.Now()) // Otherwise called by gossip.
 		}
 		if h.added.AllAgentsKnown() && len(h.added.PossibleHolders([]uint64{route.ServiceID("desk")})) < 2 {
 			return true
