deliv: return packets without data that the server doesn't answer

Now the agent sends two such packets to a server that hasn't decided on the flow, and returns further ones, with the word that a flow with the key may be held, so that nothing is reset. Data always goes to the server.

Without the change:

unanswered_test.go:24: opening != perhaps --- FAIL: TestUnansweredPacketsOfSavedFlowAreReturned (0.00s)

--- a/internal/deliv/evidence.go
+++ b/internal/deliv/evidence.go
@@ -122,7 +122,7 @@
 
 // unconfirm lets the server decide on the flow's packets again, since it may hold another flow with the key.
 func (f *flowState) unconfirm() {
-	f.phase, f.numbers, f.claimPending = phaseUnconfirmed, flow.Numbers{}, true
+	f.phase, f.numbers, f.claimPending, f.bareInRow = phaseUnconfirmed, flow.Numbers{}, true, 0
 	if f.synSeen {
 		f.numbers.RecordClient(f.synSeq + 1)
 	}
@@ -142,6 +142,23 @@
 // from the server, and no client reset.
 func (f *flowState) isUndecided() bool { return f.phase == phaseProbing || f.phase == phaseUnconfirmed }
 
+// maxBareInRow is how many packets without data a server is sent on a flow that it hasn't decided on. It acknowledges every second packet of
+// a flow that it holds; on one that has ended it answers none, or acknowledges the FIN.
+const maxBareInRow = 2
+
+// isUnanswered reports whether the server hasn't shown that it holds a flow though it should have. Only data, which each server answers or
+// returns, can still decide.
+func (f *flowState) isUnanswered() bool {
+	return f != nil && f.isUndecided() && f.bareInRow >= maxBareInRow
+}
+
+// recordBare counts a client's packet h that can't make the server decide.
+func (f *flowState) recordBare(h flow.Header) {
+	if h.Len == 0 && f.isUndecided() {
+		f.bareInRow++
+	}
+}
+
 // isHeld reports whether the server holds the flow or held it until its end, by what the agent has seen since its start.
 func (f *flowState) isHeld() bool {
 	switch {
--- a/internal/deliv/flow.go
+++ b/internal/deliv/flow.go
@@ -72,6 +72,8 @@
 	claimPending bool
 	// probed is set once an entry has probed for the flow here. The first request then doesn't wait for a free slot.
 	probed bool
+	// bareInRow counts the client's packets without data while the server hasn't decided whether it holds the flow.
+	bareInRow int
 	// firstSeen is when the agent first saw the flow; saved means that the last saved list contains it.
 	firstSeen time.Time
 	saved     bool
@@ -209,7 +211,7 @@
 	if f == nil {
 		return !a.serverMayHold(key, now) && (kind != encap.Probe || !a.serverMayBeProbed(key, now))
 	}
-	return f.handshakeWith(h) == choseAnother
+	return f.handshakeWith(h) == choseAnother || h.Len == 0 && f.isUnanswered()
 }
 
 // sendProbe sends the queued packets of a flow to the server at once: the entry waits for the server's decision, and only
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -361,6 +361,7 @@
 			f = a.flows.Put(k, flowState{serverRestarts: a.server.Restarts(), firstSeen: now, responseSeen: true}, now)
 		}
 		f.phase, f.service, f.serverNextSeq, f.saved, f.claimPending = phaseUnconfirmed, service, nextSeqs[i], true, true
+		f.bareInRow = 0
 		a.countOpenFlow(f)
 	}
 }
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -108,6 +108,8 @@
 		return seek.Perhaps
 	case f.serverRestarts != a.server.Restarts():
 		return seek.Denied
+	case f.isUnanswered():
+		return seek.Perhaps
 	case f.phase == phaseOpening || f.phase == phaseUnconfirmed:
 		return seek.Opening // The server may well hold the flow: entries probe it first.
 	case f.phase == phaseClosed && !(f.wasOpen && a.flows.UsedSince(key, now.Add(-closedFlowTTL))):
@@ -123,7 +125,7 @@
 		return 0
 	}
 	verdict := a.flowVerdict(key, f, now)
-	if verdict == seek.Opening && (f.chosen || f.phase == phaseUnconfirmed) {
+	if verdict == seek.Opening && f.chosen || verdict != seek.Denied && f.isUndecided() {
 		return seek.Held
 	}
 	return verdict
@@ -255,6 +257,7 @@
 	}
 	f.entry = from
 	f.recordChoice(h)
+	f.recordBare(h)
 	if header.Kind == encap.Probe {
 		a.sendProbe(key, f, h, now)
 	}
