--- a/internal/deliv/evidence.go
+++ b/internal/deliv/evidence.go
@@ -138,7 +138,7 @@
 	return f.synSeen && !f.synAckSeen && now.Sub(f.firstSeen) < maxHandshakeTime
 }
 
-// isUndecided reports whether nothing that the agent has seen since its start shows whether the server holds the flow. No packet is then kept
+// isUndecided reports whether nothing that the agent has seen since its start shows whether the server holds the flow. No data is then kept
 // from the server, and no client reset.
 func (f *flowState) isUndecided() bool { return f.phase == phaseProbing || f.phase == phaseUnconfirmed }
 
@@ -170,8 +170,8 @@
 	return f.phase == phaseOpen || f.phase == phaseOpening && f.chosen
 }
 
-// mayBeReset reports whether an RST of the server is one on this flow, and news for its client. An ended flow's server also answers late packets with an
-// RST, when the client may have used the port again: only one that the server has reset is reset again.
+// mayBeReset reports whether an RST of the server is one on this flow, and news for its client. An ended flow's server also answers late
+// packets with an RST, when the client may have used the port again: only one that the server has reset is reset again.
 func (f *flowState) mayBeReset() bool {
 	return f.isHeld() && (f.phase != phaseClosed || f.resetByServer)
 }
--- a/internal/deliv/packet.go
+++ b/internal/deliv/packet.go
@@ -276,7 +276,8 @@
 // flowFields returns the log fields that describe the state of a flow and of its server.
 func (a *Agent) flowFields(key flow.Key, f *flowState, now time.Time) []zap.Field {
 	fields := []zap.Field{
-		zap.Stringer("flow", key), zap.Stringer("phase", f.phase), zap.Duration("age", now.Sub(f.firstSeen)), zap.Bool("syn_ack", f.synAckSeen), zap.Stringer("by", f.entry), zap.Int("restarts", a.server.Restarts()-f.serverRestarts),
+		zap.Stringer("flow", key), zap.Stringer("phase", f.phase), zap.Duration("age", now.Sub(f.firstSeen)), zap.Bool("syn_ack", f.synAckSeen),
+		zap.Stringer("by", f.entry), zap.Int("restarts", a.server.Restarts()-f.serverRestarts),
 		zap.Bool("table_complete", a.tableComplete(now)),
 	}
 	heartbeat, packet := a.server.Silence(now)
--- a/internal/deliv/server_packet.go
+++ b/internal/deliv/server_packet.go
@@ -48,7 +48,8 @@
 
 // handleUnheldReset processes an RST of the server on a flow, whose state is f or nil, that it isn't known to hold. A server at which
 // another flow with the key has ended answers data in this way. The RST isn't sent to the client, whose flow may be open at another server.
-// One that comes before the reply to a SYN isn't of the new flow, unless the SYN was a late one that gets no reply, and one on a flow that has ended shows nothing new.
+// One that comes before the reply to a SYN isn't of the new flow, unless the SYN was a late one that gets no reply, and one on a flow that has
+// ended shows nothing new.
 func (a *Agent) handleUnheldReset(key flow.Key, f *flowState, now time.Time) {
 	a.counters.Add("unheld_reset", 1)
 	fields := []zap.Field{zap.Stringer("flow", key)}
--- a/internal/seek/seek.go
+++ b/internal/seek/seek.go
@@ -98,8 +98,8 @@
 	probedAt, firstProbedAt time.Time
 	// dead is Candidate.Dead; no reply is expected. Traces call it silent.
 	dead bool
-	// holdsSameKey means that the agent has returned a packet, but holds, or may well hold, a flow with the same key. The packet may be a late one of an
-	// earlier flow.
+	// holdsSameKey means that the agent has returned a packet, but holds, or may well hold, a flow with the same key. The packet may be a late
+	// one of an earlier flow.
 	holdsSameKey bool
 	// doubted means that the agent couldn't tell by its list and hasn't named the flow since. A denial may then rest on its table alone, which
 	// counts as complete after some time, and needs a probe.
--- a/tests/soak_test.go
+++ b/tests/soak_test.go
@@ -44,7 +44,8 @@
 	opts.MaxPause, opts.MaxResponse = 14700*time.Millisecond, 0
 }
 
-// finalFaultTail is how long the traffic of finalFault goes on after the fault: longer than the idle timeout, the longest timeout of a route and the margin after them.
+// finalFaultTail is how long the traffic of finalFault goes on after the fault: longer than the idle timeout, the longest timeout of a route and
+// the margin after them.
 const finalFaultTail = 26 * time.Second
 
 // soakCases run in CI. A seed that has failed once stays in the list, with the cause of the failure.
@@ -54,7 +55,8 @@
 	{name: "servers", seed: 789, faults: "server replaced,server crashes", duration: 8 * time.Second,
 		reason: "the port of a fake server was still in use: its listener was open, and a child process held a copy of its socket (no fault " +
 			"of the system)"},
-	{name: "store", seed: 3, faults: "store silent,store forgets,store revokes,configurations", duration: 8 * time.Second, reason: "configuration changes while the store fails"},
+	{name: "store", seed: 3, faults: "store silent,store forgets,store revokes,configurations", duration: 8 * time.Second,
+		reason: "configuration changes while the store fails"},
 	{name: "planned", seed: 4, faults: "roll entries,roll agents,server replaced", duration: 8 * time.Second, reason: "planned operations alone break no flow"},
 	{name: "agents", seed: 4, faults: "roll agents", duration: 8 * time.Second,
 		reason: "flows learned before a server's first heartbeat were attributed to an earlier start of the server, and reset"},
--- a/tests/standstill_test.go
+++ b/tests/standstill_test.go
@@ -56,18 +56,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			watcher := &flowWatcher{packets: make(map[netip.AddrPort]flowPackets)}
-			opts := local.CheckOptions(binary, t.TempDir(), slotStandstill)
-			opts.Watcher = watcher
-			deployment, err := local.New(opts)
-			is.NoErr(err)
-			defer deployment.Close()
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			is.NoErr(deployment.Start(ctx))
-			flows := establishFlows(t, deployment)
-			time.Sleep(settleTime)
-			watcher.clear()
+			deployment, watcher, flows := startWatched(t, slotStandstill)
 			var wg sync.WaitGroup
 			for _, p := range deployment.Agents[:c.agents] {
 				wg.Go(func() { c.disrupt(p) })
@@ -84,6 +73,26 @@
 	}
 }
 
+// startWatched starts a deployment with open flows that have been idle for settleTime, and counts from then on what happens to them. It stops
+// with the test.
+func startWatched(t *testing.T, slot int) (*local.Deployment, *flowWatcher, []*fakes.Flow) {
+	t.Helper()
+	is := is.New(t)
+	watcher := &flowWatcher{packets: make(map[netip.AddrPort]flowPackets)}
+	opts := local.CheckOptions(binary, t.TempDir(), slot)
+	opts.Watcher = watcher
+	deployment, err := local.New(opts)
+	is.NoErr(err)
+	t.Cleanup(deployment.Close)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	is.NoErr(deployment.Start(ctx))
+	flows := establishFlows(t, deployment)
+	time.Sleep(settleTime)
+	watcher.clear()
+	return deployment, watcher, flows
+}
+
 // standStill pauses a process for a time.
 func standStill(p *local.Process, duration time.Duration) {
 	p.Signal(syscall.SIGSTOP)
--- a/tests/stop_all_test.go
+++ b/tests/stop_all_test.go
@@ -1,9 +1,7 @@
 package tests
 
 import (
-	"context"
 	"math/rand/v2"
-	"net/netip"
 	"syscall"
 	"testing"
 	"time"
@@ -39,18 +37,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			watcher := &flowWatcher{packets: make(map[netip.AddrPort]flowPackets)}
-			opts := local.CheckOptions(binary, t.TempDir(), slotStopAll)
-			opts.Watcher = watcher
-			deployment, err := local.New(opts)
-			is.NoErr(err)
-			defer deployment.Close()
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			is.NoErr(deployment.Start(ctx))
-			flows := establishFlows(t, deployment)
-			time.Sleep(settleTime)
-			watcher.clear()
+			deployment, watcher, flows := startWatched(t, slotStopAll)
 			go c.stop(deployment)
 			time.Sleep(200 * time.Millisecond)
 			_, lost := requestOnEach(flows, c.name)
