--- a/internal/memb/settle_test.go
+++ b/internal/memb/settle_test.go
@@ -58,12 +58,19 @@
 	return false
 }
 
+// locked runs a function that changes a node whose link is being served.
+func locked(n *Node, change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
 // Guards against resets of open flows by an added entry that takes the agents in the directory for all: the store has taken away the keys
 // of all other entries and of some agents, and the seeds are stale. The listed agents know the entries.
 func TestAddedEntryLearnsOfAgentThatIsNotListed(t *testing.T) {
 	is := is.New(t)
 	h := newHolding(t)
-	h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	locked(h.added, func() { h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime) })
 	is.NoErr(h.added.syncDirectory(context.Background(), false))
 	is.True(!h.resetsUnlisted(testPeriod, h.entry, h.listed, h.added))
 	is.True(h.added.AllAgentsKnown()) // The entry that isn't listed has told.
@@ -74,7 +81,7 @@
 	is := is.New(t)
 	h := newHolding(t)
 	is.NoErr(h.entry.opts.Link.Close())
-	h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	locked(h.added, func() { h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime) })
 	is.NoErr(h.added.syncDirectory(context.Background(), false))
 	is.True(!h.resetsUnlisted(testPeriod, h.listed, h.added))
 }
@@ -127,13 +134,16 @@
 			is := is.New(t)
 			h := newHolding(t)
 			is.NoErr(h.entry.opts.Link.Close())
-			delete(h.listed.peers, h.entry.self.Packets)
-			earlier := h.added.self
-			h.added.self.Incarnation++
+			locked(h.listed, func() { delete(h.listed.peers, h.entry.self.Packets) })
+			var earlier view.Record
+			locked(h.added, func() {
+				earlier = h.added.self
+				h.added.self.Incarnation++
+			})
 			if c.uptime > 0 {
 				h.listed.onState(earlier.Control, ctrl.State{Record: earlier, Uptime: c.uptime})
 			}
-			h.added.startedAt = time.Now().Add(-settle.ReplacementTime)
+			locked(h.added, func() { h.added.startedAt = time.Now().Add(-settle.ReplacementTime) })
 			is.NoErr(h.added.syncDirectory(context.Background(), false))
 			h.resetsUnlisted(testPeriod/3, h.listed, h.added)
 			is.Equal(h.added.AllAgentsKnown(), c.settled)
@@ -147,7 +157,7 @@
 	is := is.New(t)
 	h := newHolding(t)
 	h.entry.recordDirectoryRead([]view.Record{h.listed.self}, time.Now().Add(-directoryReadInterval/2))
-	h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime)
+	locked(h.added, func() { h.added.startedAt = time.Now().Add(-2 * settle.DiscoveryTime) })
 	is.NoErr(h.added.syncDirectory(context.Background(), false))
 	told := func(n *Node) bool {
 		for deadline := time.Now().Add(testPeriod); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
