deliv: reset the flows of an earlier start of the server right after the agent's start

The server's start is proven by then, so that the list's flows are lost. What isn't proven is that a key is still that flow's: its client may have closed it and used the port for another server since the list was saved.

--- a/internal/deliv/ended_saved_test.go
+++ b/internal/deliv/ended_saved_test.go
@@ -46,6 +46,7 @@
 	later := func(hb *server.Heartbeat) { hb.StartedAt = startedAt.Add(time.Minute) }
 	successor.receiveHeartbeat(later)
 	successor.settle(func(hb *server.Heartbeat) { later(hb); hb.Sequence = 8 })
+	successor.agent.startedAt = time.Now().Add(-2 * maxListResetDelay)
 	successor.agent.loadFlowList(context.Background())
 	successor.Equal(successor.read(successor.client), nil)
 	list, save := successor.agent.encodeFlowList(false)
--- a/internal/deliv/list.go
+++ b/internal/deliv/list.go
@@ -37,6 +37,9 @@
 	maxHandshakeTime = 1400 * time.Millisecond
 	// loadRetryInterval is the pause between attempts to load the list.
 	loadRetryInterval = 200 * time.Millisecond
+	// maxListResetDelay is how long after the agent's start the flows of an earlier start of the server are reset by the saved list. Clients that wait
+	// for a response learn nothing otherwise. Later, a key of the list may be that of a flow that is open at another server.
+	maxListResetDelay = 3 * time.Second
 	// loadTimeout bounds the attempts to load and restore the list. Clients have given up their flows by then.
 	loadTimeout = 10 * time.Second
 )
@@ -338,8 +341,12 @@
 	}
 	a.savedFlows = len(keys)
 	if !sameStart {
+		reset := now.Sub(a.startedAt) <= maxListResetDelay
 		a.opts.Log.Info("saved list is of an earlier start of the server", zap.Int("flows", len(keys)), zap.String("id", hb.ID),
-			zap.String("saved", s.ServerID))
+			zap.String("saved", s.ServerID), zap.Bool("reset", reset))
+		if reset {
+			a.resetListed(keys, s.NextSeqs)
+		}
 		return true
 	}
 	a.restoreFlows(keys, s.NextSeqs, route.ServiceID(hb.Service), now)
@@ -349,6 +356,19 @@
 	return true
 }
 
+// resetListed resets flows of a saved list that the server has lost by a restart, unless packets of flows with their keys have come since. It
+// denies none: the server may hold later ones.
+func (a *Agent) resetListed(keys []flow.Key, nextSeqs []uint32) {
+	for i, k := range keys {
+		if a.flows.Peek(k) == nil {
+			a.opts.FlowLog.Warn("flow is lost", zap.Stringer("flow", k), zap.String("reason", "saved list is of an earlier start of the server"),
+				zap.Bool("reset", true))
+			a.counters.Add("flow_ended", 1)
+			a.sendReset(flow.Header{Src: k.Client(), Dst: k.Service(), Ack: true, AckNumber: nextSeqs[i]})
+		}
+	}
+}
+
 // restoreFlows adds flows of a saved list to the table, unless packets of them have shown more since. A list proves nothing: its flows may have
 // ended, and their keys be those of later ones.
 func (a *Agent) restoreFlows(keys []flow.Key, nextSeqs []uint32, service uint64, now time.Time) {
