review: case 12 with planned work in place of the loss of machines

The loss of both entries isn't needed: with stale seeds, entries that are added after the leases have run out settle without hearing any process that was up before. Change: the entries are added and the earlier ones stopped one at a time, as planned work.

--- a/review/cases3/unknown.go
+++ b/review/cases3/unknown.go
@@ -26,9 +26,9 @@
 	lastUsed time.Time
 }
 
-// unknownAgent is the case of entries that take the agents that they know for all, although the directory has lost older ones.
+// unknownAgent is the case of entries that are added after the store has lost the leases, and take the agents that they know for all.
 func unknownAgent(d *deployment, trouble bool) (broken bool, err error) {
-	d.seeds = []netip.Addr{d.ip(1), d.ip(2)}
+	d.seeds = []netip.Addr{d.ip(201), d.ip(202)} // Machines that are gone.
 	var entries, agents []*machine
 	zones := []string{"brno-a", "brno-b"}
 	for i, zone := range zones {
@@ -79,18 +79,16 @@
 		d.endLeases()
 		d.coreDisturbedAt = time.Now()
 		d.printf("the store is back; leases have run out meanwhile")
-		for _, m := range entries {
-			d.signal(m, syscall.SIGKILL, "the machine is lost for good")
-		}
-		entries = nil
-		for i, zone := range zones {
-			m, err := d.start(fmt.Sprintf("front-%d", i+3), "relay", byte(3+i), zone)
-			if err != nil {
-				return false, err
-			}
-			entries = append(entries, m)
+	}
+	// Planned: front machines are added.
+	old := entries
+	entries = nil
+	for i, zone := range zones {
+		m, err := d.start(fmt.Sprintf("front-%d", i+3), "relay", byte(3+i), zone)
+		if err != nil {
+			return false, err
 		}
-		d.setRotation(entries...)
+		entries = append(entries, m)
 	}
 	// Planned: one more server.
 	added, err := d.start("side-5", "deliver", 15, "brno-a")
@@ -100,7 +98,21 @@
 	if _, err := d.startServer(added, "i-5", "brno-a", netip.AddrPortFrom(added.ip, portAnnounce)); err != nil {
 		return false, err
 	}
-	time.Sleep(time.Until(begin.Add(23 * time.Second)))
+	for _, m := range entries {
+		if err := d.awaitReady(m); err != nil {
+			return false, err
+		}
+	}
+	// Planned: the front machines that were there before are stopped, one at a time, and leave.
+	d.setRotation(append(old, entries...)...)
+	for i, m := range old {
+		d.setRotation(append(old[i+1:], entries...)...)
+		d.signal(m, syscall.SIGTERM, "planned: SIGTERM, the machine leaves")
+		_ = m.cmd.Wait()
+		d.printf("%s has ended", m.name)
+		time.Sleep(time.Second)
+	}
+	time.Sleep(time.Until(begin.Add(25 * time.Second)))
 	d.useAll(flows)
 	time.Sleep(500 * time.Millisecond)
 	return d.brokenFlows(agents), nil
