--- a/review/cases3/harness.go
+++ b/review/cases3/harness.go
@@ -17,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -85,6 +86,8 @@
 	first       bool
 	machines    []*machine
 	servers     []*fakes.Server
+	// turnsAway makes the store turn the front machines away. They reach it at an address of their own.
+	turnsAway atomic.Bool
 	// coreDisturbedAt is when the platform's store was last disturbed.
 	coreDisturbedAt time.Time
 
@@ -113,7 +116,15 @@
 		if err != nil {
 			continue
 		}
+		fronts, err := net.Listen("tcp4", netip.AddrPortFrom(d.ip(251), portStore).String())
+		if err != nil {
+			_ = ln.Close()
+			continue
+		}
 		go func() { _ = (&http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}).Serve(ln) }()
+		go func() {
+			_ = (&http.Server{Handler: http.HandlerFunc(d.serveFront), ReadHeaderTimeout: time.Second}).Serve(fronts)
+		}()
 		return d, d.store.Configure(7, []fakes.Route{{
 			Name: "r-1", Address: serviceAddress, Service: serviceName, Priority: 1, Objective: 150 * time.Millisecond, Timeout: 2500 * time.Millisecond,
 		}}, idleTimeout)
@@ -121,6 +132,15 @@
 	return nil, fmt.Errorf("no free address")
 }
 
+// serveFront serves a call of a front machine to the store.
+func (d *deployment) serveFront(w http.ResponseWriter, r *http.Request) {
+	if d.turnsAway.Load() {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+		return
+	}
+	d.store.ServeHTTP(w, r)
+}
+
 func (d *deployment) ip(n byte) netip.Addr {
 	return netip.AddrFrom4([4]byte{127, d.base[0], d.base[1], n})
 }
@@ -140,7 +160,11 @@
 	if command == "deliver" {
 		settings += fmt.Sprintf("outbound = \"%s:%d\"\nserver = \"%s:%d\"\nservice = %q\nheartbeat = %q\n", ip, portOutbound, ip, portServer, serviceName, heartbeatInterval)
 	}
-	settings += fmt.Sprintf("store = \"%s:%d\"\napply = \"3000ms\"\nstop = \"6s\"\n", d.ip(250), portStore)
+	store := d.ip(250)
+	if command == "relay" {
+		store = d.ip(251)
+	}
+	settings += fmt.Sprintf("store = \"%s:%d\"\napply = \"3000ms\"\nstop = \"6s\"\n", store, portStore)
 	if d.first {
 		settings += "first = true\n"
 	}
@@ -285,6 +309,12 @@
 	return fmt.Errorf("%s is not ready", m.name)
 }
 
+// takeKeys takes away the keys of a machine's process, whose lease stays.
+func (d *deployment) takeKeys(m *machine) {
+	d.store.DeletePrefix(fmt.Sprintf("bergamotrun/process/%s:", m.ip))
+	d.store.DeletePrefix(fmt.Sprintf("bergamotrun/flows/%s:", m.ip))
+}
+
 // endLeases ends all leases of the store, as they may run out while the store is down.
 func (d *deployment) endLeases() {
 	for _, key := range d.store.Keys("bergamotrun/") {
--- a/review/cases3/newagent.go
+++ b/review/cases3/newagent.go
@@ -4,17 +4,14 @@
 
 import (
 	"fmt"
-	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
-
-	"github.com/bergamotrun/bergamotrun/platform/fakes"
 )
 
 func init() { cases["new-agent"] = newAgent }
 
-// newAgent is the case of an agent that starts while the store has lost the leases, and of which one of two entries doesn't learn.
+// newAgent is the case of an agent that starts while the store has taken the entries' keys away, and of which one of them doesn't learn.
 func newAgent(d *deployment, trouble bool) (broken bool, err error) {
 	d.seeds = []netip.Addr{d.ip(201), d.ip(202)} // Machines that are gone.
 	zones := []string{"brno-a", "brno-b"}
@@ -56,8 +53,10 @@
 	}
 	at(16)
 	if trouble {
-		d.printf("the store is down: 503")
-		d.store.Inject(fakes.Faults{RejectStatus: http.StatusServiceUnavailable})
+		d.printf("the store turns the two front machines away, 503, and takes their keys away")
+		d.turnsAway.Store(true)
+		d.takeKeys(first)
+		d.takeKeys(second)
 		d.coreDisturbedAt = time.Now()
 	}
 	// Planned: one more server.
@@ -69,12 +68,11 @@
 	if _, err := d.startServer(added, "i-9", zones[1], netip.AddrPortFrom(added.ip, portAnnounce)); err != nil {
 		return false, err
 	}
-	at(17)
+	at(16.6)
 	if trouble {
-		d.store.Inject(fakes.Faults{})
-		d.endLeases()
+		d.turnsAway.Store(false)
 		d.coreDisturbedAt = time.Now()
-		d.printf("the store is back; leases have run out meanwhile")
+		d.printf("the store serves the front machines again")
 	}
 	at(20.9)
 	var flows []*openFlow
