--- a/review/cases3/harness.go
+++ b/review/cases3/harness.go
@@ -11,7 +11,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -72,6 +71,8 @@
 	args []string
 	log  *os.File
 	cmd  *exec.Cmd
+	// turnedAway makes the store turn the machine away.
+	turnedAway atomic.Bool
 	// startedAt is when the process started; disturbedAt when it was last disturbed otherwise.
 	startedAt, disturbedAt time.Time
 }
@@ -81,13 +82,13 @@
 	*record
 	binary, dir string
 	base        [2]byte
-	store       *fakes.Store
-	seeds       []netip.Addr
-	first       bool
-	machines    []*machine
-	servers     []*fakes.Server
-	// turnsAway makes the store turn the front machines away. They reach it at an address of their own.
-	turnsAway atomic.Bool
+	// reserved is a listener that keeps other deployments from using the same addresses.
+	reserved net.Listener
+	store    *fakes.Store
+	seeds    []netip.Addr
+	first    bool
+	machines []*machine
+	servers  []*fakes.Server
 	// coreDisturbedAt is when the platform's store was last disturbed.
 	coreDisturbedAt time.Time
 
@@ -107,24 +108,15 @@
 	open            bool
 }
 
-// newDeployment starts the store with a first configuration.
+// newDeployment returns a deployment whose store has a first configuration.
 func newDeployment(rec *record, binary, dir string) (*deployment, error) {
 	d := &deployment{record: rec, binary: binary, dir: dir, store: fakes.NewStore(), first: true, started: make(map[string]string)}
 	for range 50 {
 		d.base = [2]byte{byte(64 + rand.IntN(128)), byte(rand.IntN(250))}
-		ln, err := net.Listen("tcp4", netip.AddrPortFrom(d.ip(250), portStore).String())
-		if err != nil {
+		var err error
+		if d.reserved, err = net.Listen("tcp4", netip.AddrPortFrom(d.ip(250), portStore).String()); err != nil {
 			continue
 		}
-		fronts, err := net.Listen("tcp4", netip.AddrPortFrom(d.ip(251), portStore).String())
-		if err != nil {
-			_ = ln.Close()
-			continue
-		}
-		go func() { _ = (&http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}).Serve(ln) }()
-		go func() {
-			_ = (&http.Server{Handler: http.HandlerFunc(d.serveFront), ReadHeaderTimeout: time.Second}).Serve(fronts)
-		}()
 		return d, d.store.Configure(7, []fakes.Route{{
 			Name: "r-1", Address: serviceAddress, Service: serviceName, Priority: 1, Objective: 150 * time.Millisecond, Timeout: 2500 * time.Millisecond,
 		}}, idleTimeout)
@@ -132,13 +124,21 @@
 	return nil, fmt.Errorf("no free address")
 }
 
-// serveFront serves a call of a front machine to the store.
-func (d *deployment) serveFront(w http.ResponseWriter, r *http.Request) {
-	if d.turnsAway.Load() {
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
+// listenStore serves the store to one machine, at an address of its own.
+func (d *deployment) listenStore(m *machine) error {
+	ln, err := net.Listen("tcp4", netip.AddrPortFrom(m.ip, portStore).String())
+	if err != nil {
+		return err
 	}
-	d.store.ServeHTTP(w, r)
+	h := func(w http.ResponseWriter, r *http.Request) {
+		if m.turnedAway.Load() {
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		d.store.ServeHTTP(w, r)
+	}
+	go func() { _ = (&http.Server{Handler: http.HandlerFunc(h), ReadHeaderTimeout: time.Second}).Serve(ln) }()
+	return nil
 }
 
 func (d *deployment) ip(n byte) netip.Addr {
@@ -160,11 +160,7 @@
 	if command == "deliver" {
 		settings += fmt.Sprintf("outbound = \"%s:%d\"\nserver = \"%s:%d\"\nservice = %q\nheartbeat = %q\n", ip, portOutbound, ip, portServer, serviceName, heartbeatInterval)
 	}
-	store := d.ip(250)
-	if command == "relay" {
-		store = d.ip(251)
-	}
-	settings += fmt.Sprintf("store = \"%s:%d\"\napply = \"3000ms\"\nstop = \"6s\"\n", store, portStore)
+	settings += fmt.Sprintf("store = \"%s:%d\"\napply = \"3000ms\"\nstop = \"6s\"\n", ip, portStore)
 	if d.first {
 		settings += "first = true\n"
 	}
@@ -181,6 +177,9 @@
 	}
 	m := &machine{name: name, ip: ip, args: []string{command, "-config", file}, log: log}
 	d.machines = append(d.machines, m)
+	if err := d.listenStore(m); err != nil {
+		return nil, err
+	}
 	return m, d.run(m)
 }
 
@@ -309,20 +308,20 @@
 	return fmt.Errorf("%s is not ready", m.name)
 }
 
-// takeKeys takes away the keys of a machine's process, whose lease stays.
-func (d *deployment) takeKeys(m *machine) {
-	d.store.DeletePrefix(fmt.Sprintf("bergamotrun/process/%s:", m.ip))
-	d.store.DeletePrefix(fmt.Sprintf("bergamotrun/flows/%s:", m.ip))
-}
-
-// endLeases ends all leases of the store, as they may run out while the store is down.
-func (d *deployment) endLeases() {
-	for _, key := range d.store.Keys("bergamotrun/") {
-		if lease := d.store.LeaseOf(key); lease != 0 {
-			r := httptest.NewRequest(http.MethodDelete, fmt.Sprintf("/api/kv-lease-end/%d", lease), nil)
-			d.store.ServeHTTP(httptest.NewRecorder(), r)
-		}
+// turnAway makes the store turn some machines away for a time, and takes the keys of their processes away, whose leases stay.
+func (d *deployment) turnAway(machines []*machine, duration time.Duration) {
+	for _, m := range machines {
+		m.turnedAway.Store(true)
+		d.store.DeletePrefix(fmt.Sprintf("bergamotrun/process/%s:", m.ip))
+		d.store.DeletePrefix(fmt.Sprintf("bergamotrun/flows/%s:", m.ip))
+		d.printf("the store turns %s away, 503, and takes its keys away", m.name)
+	}
+	time.Sleep(duration)
+	for _, m := range machines {
+		m.turnedAway.Store(false)
 	}
+	d.coreDisturbedAt = time.Now()
+	d.printf("the store serves these machines again")
 }
 
 // close ends all processes that were started.
--- a/review/cases3/newagent.go
+++ b/review/cases3/newagent.go
@@ -52,13 +52,14 @@
 		return false, err
 	}
 	at(16)
-	if trouble {
-		d.printf("the store turns the two front machines away, 503, and takes their keys away")
-		d.turnsAway.Store(true)
-		d.takeKeys(first)
-		d.takeKeys(second)
-		d.coreDisturbedAt = time.Now()
-	}
+	turned := make(chan struct{})
+	go func() {
+		defer close(turned)
+		if trouble {
+			d.turnAway([]*machine{first, second}, 600*time.Millisecond)
+		}
+	}()
+	time.Sleep(10 * time.Millisecond)
 	// Planned: one more server.
 	added, err := d.start("side-9", "deliver", 31, zones[1])
 	if err != nil {
@@ -68,12 +69,7 @@
 	if _, err := d.startServer(added, "i-9", zones[1], netip.AddrPortFrom(added.ip, portAnnounce)); err != nil {
 		return false, err
 	}
-	at(16.6)
-	if trouble {
-		d.turnsAway.Store(false)
-		d.coreDisturbedAt = time.Now()
-		d.printf("the store serves the front machines again")
-	}
+	<-turned
 	at(20.9)
 	var flows []*openFlow
 	for range 5 {
--- a/review/cases3/unknown.go
+++ b/review/cases3/unknown.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"syscall"
 	"time"
@@ -26,7 +25,7 @@
 	lastUsed time.Time
 }
 
-// unknownAgent is the case of entries that are added after the store has lost the leases, and take the agents that they know for all.
+// unknownAgent is the case of entries that are added after the store has taken keys away, and take the agents that they know for all.
 func unknownAgent(d *deployment, trouble bool) (broken bool, err error) {
 	d.seeds = []netip.Addr{d.ip(201), d.ip(202)} // Machines that are gone.
 	var entries, agents []*machine
@@ -72,13 +71,9 @@
 	}
 	time.Sleep(time.Until(begin.Add(16 * time.Second)))
 	if trouble {
-		d.printf("the store is down: 503")
-		d.store.Inject(fakes.Faults{RejectStatus: http.StatusServiceUnavailable})
-		time.Sleep(time.Second)
-		d.store.Inject(fakes.Faults{})
-		d.endLeases()
-		d.coreDisturbedAt = time.Now()
-		d.printf("the store is back; leases have run out meanwhile")
+		for _, turned := range [][]*machine{entries, agents[:2], agents[2:]} {
+			d.turnAway(turned, 300*time.Millisecond)
+		}
 	}
 	// Planned: front machines are added.
 	old := entries
