review: the stand-in of case 14 learns the path of its calls from heartbeats

Change: heartbeats go through the proxy of case 13, which passes them on at once and keeps their path.

--- a/review/cases3/notice.go
+++ b/review/cases3/notice.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -20,6 +21,8 @@
 	target netip.AddrPort
 	delay  time.Duration
 	record *record
+	// path is the URL path of the last call.
+	path atomic.Pointer[string]
 }
 
 func startDelayProxy(listen, target netip.AddrPort, delay time.Duration, rec *record) (*delayProxy, error) {
@@ -49,6 +52,9 @@
 	if err != nil {
 		return
 	}
+	if words := strings.Fields(string(buf[:n])); len(words) > 1 {
+		p.path.Store(&words[1])
+	}
 	if strings.HasPrefix(string(buf[:n]), "DELETE") {
 		p.record.printf("the link delays the shutdown notice by %s", p.delay)
 		time.Sleep(p.delay)
--- a/review/cases3/unanswered.go
+++ b/review/cases3/unanswered.go
@@ -13,11 +13,15 @@
 
 func init() { cases["unanswered-notice"] = unansweredNotice }
 
-// sendNotice sends the shutdown notice of a server and waits a second for the acknowledgement.
-func (d *deployment) sendNotice(agent *machine, id string) bool {
+// sendNotice sends the shutdown notice of a server, whose heartbeats go through p, and waits a second for the acknowledgement.
+func (d *deployment) sendNotice(p *delayProxy, id string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	url := fmt.Sprintf("http://%s:%d/api/instances/%s", agent.ip, portAnnounce, id)
+	path := p.path.Load()
+	if path == nil {
+		return false
+	}
+	url := "http://" + p.target.String() + *path
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
 	if err != nil {
 		return false
@@ -45,13 +49,22 @@
 		}
 		entries = append(entries, m)
 	}
+	var proxy *delayProxy
 	for i := range 8 {
 		m, err := d.start(fmt.Sprintf("side-%d", i+1), "deliver", byte(11+i), zones[i%2])
 		if err != nil {
 			return false, err
 		}
 		agents = append(agents, m)
-		if _, err := d.startServer(m, fmt.Sprintf("i-%d", i+1), zones[i%2], netip.AddrPortFrom(m.ip, portAnnounce)); err != nil {
+		heartbeats := netip.AddrPortFrom(m.ip, portAnnounce)
+		if i == 0 {
+			proxyAddr := netip.AddrPortFrom(m.ip, portProxy)
+			if proxy, err = startDelayProxy(proxyAddr, heartbeats, 0, d.record); err != nil {
+				return false, err
+			}
+			heartbeats = proxyAddr
+		}
+		if _, err := d.startServer(m, fmt.Sprintf("i-%d", i+1), zones[i%2], heartbeats); err != nil {
 			return false, err
 		}
 	}
@@ -98,7 +111,7 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	exitAt := time.Now()
-	if !d.sendNotice(agent, leaving.ID()) {
+	if !d.sendNotice(proxy, leaving.ID()) {
 		exitAt = time.Now().Add(exitDelay)
 	}
 	if trouble {
