review: the stand-ins of cases 12 to 15 stand in case 12

Cause: the folder of their code was none of the cases'. Change: review/cases3 becomes review/12/standins; build-3.sh builds it from there.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins of the scripted cases of review 3. Run it in the repository root, after the build of the deploy file.
+# Builds the stand-ins that the scripts of cases 12 to 15 start. The build line of deploy/system.toml builds the programs themselves.
 set -eu
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review-3 ./review/cases3
+go build -tags review -o target/review-3 ./review/12/standins
